Lay out the build, the design and the shared types

Cause: the project starts empty. Change: Maven parent with nine modules, formatter and linter that fail the build, docs/design.md, protobuf messages with committed code, the operators' configuration model, clock, events, signed request context, and the public types of admission, retry, routing, at-most-once and store. Conclusion: modules can now be worked on in parallel.

--- /dev/null
+++ b/core/src/main/java/io/azurestage/core/admission/Work.java
@@ -0,0 +1,34 @@
+package io.azurestage.core.admission;
+
+import io.azurestage.config.WorkClass;
+
+/**
+ * One request that asks for admission. Compared by identity: each attempt is a work of its own.
+ *
+ * @param partner partner that is charged
+ * @param workClass class of work
+ * @param rank stable rank of the request in [0,1), lower is admitted first
+ * @param deadlineNanos deadline on the monotonic clock
+ * @param entryFraction admitted fraction in force where the request entered, in (0,1]
+ * @param retry whether this is a retry
+ * @param listener receives the decision
+ */
+public record Work(
+        String partner,
+        WorkClass workClass,
+        double rank,
+        long deadlineNanos,
+        double entryFraction,
+        boolean retry,
+        WorkListener listener) {
+
+    @Override
+    public boolean equals(Object o) {
+        return this == o;
+    }
+
+    @Override
+    public int hashCode() {
+        return System.identityHashCode(this);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/azurestage/core/event/EventType.java
@@ -0,0 +1,90 @@
+package io.azurestage.core.event;
+
+/**
+ * Numbered event types. Numbers are stable: they are never reused or changed. The catalogue for
+ * operators is docs/events.md.
+ */
+public enum EventType {
+    NODE_STARTED(100, Severity.INFO, "a node opened its ports"),
+    NODE_READY(101, Severity.INFO, "a node holds a configuration and serves"),
+    NODE_DRAINING(102, Severity.INFO, "a node takes no new work"),
+    NODE_STOPPED(103, Severity.INFO, "a node finished its work in progress and stops"),
+    NODE_PAUSED(104, Severity.WARNING, "a node found that it had been paused"),
+    SETTINGS_REFUSED(105, Severity.ERROR, "the settings file is wrong"),
+
+    REQUEST_ADMITTED(200, Severity.INFO, "a request was sent to the backend server"),
+    REQUEST_REFUSED(201, Severity.INFO, "a request was refused"),
+    REQUEST_QUEUED(202, Severity.INFO, "a request waits for a free slot"),
+    REQUEST_COMPLETED(203, Severity.INFO, "an answer was delivered whole"),
+    REQUEST_CANCELLED(204, Severity.INFO, "the caller went away"),
+    ATTEMPT_STARTED(205, Severity.INFO, "an attempt was sent to another node"),
+    ATTEMPT_FAILED(206, Severity.WARNING, "an attempt failed"),
+    RETRY_STARTED(207, Severity.INFO, "a retry was taken from the allowance"),
+    ANSWER_DROPPED(208, Severity.WARNING, "a late, duplicate or foreign answer was dropped"),
+    ANSWER_BROKEN(209, Severity.WARNING, "an answer broke off"),
+    CONTEXT_REFUSED(210, Severity.WARNING, "a forged or replayed context was refused"),
+    TRANSFER_RESUMED(211, Severity.INFO, "a long answer goes on from another backend server"),
+
+    LIMIT_CHANGED(300, Severity.INFO, "the concurrency limit changed"),
+    LEVEL_CHANGED(301, Severity.INFO, "an admitted fraction changed"),
+    SHARE_LENT(302, Severity.INFO, "a partner uses capacity of another partner's share"),
+    SHARE_RETURNED(303, Severity.INFO, "lent capacity came back"),
+    SERVER_EJECTED(304, Severity.WARNING, "a backend server was taken out of routing"),
+    SERVER_RESTORED(305, Severity.INFO, "a backend server came back into routing"),
+
+    TICKET_REPLAYED(400, Severity.INFO, "a repeated request got the stored answer"),
+    TICKET_UNKNOWN(401, Severity.WARNING, "a ticket cannot be vouched for, nothing was run"),
+    TICKETS_FULL(402, Severity.WARNING, "the ticket registry is full"),
+
+    MEMBER_JOINED(500, Severity.INFO, "a member is alive"),
+    MEMBER_SUSPECT(501, Severity.WARNING, "a member does not answer probes"),
+    MEMBER_DEAD(502, Severity.WARNING, "a member is taken for dead"),
+    MEMBER_LEFT(503, Severity.INFO, "a member left"),
+    MEMBER_REFUTED(504, Severity.INFO, "this node refuted a suspicion"),
+    NODE_ISOLATED(505, Severity.WARNING, "most probes of this node fail"),
+
+    CONFIG_ADOPTED(600, Severity.INFO, "a configuration version is in force"),
+    CONFIG_REFUSED(601, Severity.ERROR, "a configuration was refused"),
+    STORE_DOWN(602, Severity.WARNING, "the key-value service does not answer"),
+    STORE_UP(603, Severity.INFO, "the key-value service answers again"),
+    STORE_BEHIND(604, Severity.ERROR, "the key-value service holds a lower version than this node"),
+    STORE_RESTORED(605, Severity.INFO, "a higher version was written back to the store"),
+    CONFIG_CONFLICT(606, Severity.ERROR, "two documents have the same version number");
+
+    private final int mNumber;
+    private final Severity mSeverity;
+    private final String mDescription;
+
+    EventType(int number, Severity severity, String description) {
+        mNumber = number;
+        mSeverity = severity;
+        mDescription = description;
+    }
+
+    /**
+     * Returns the stable number.
+     *
+     * @return the number, unique among all types
+     */
+    public int number() {
+        return mNumber;
+    }
+
+    /**
+     * Returns the severity.
+     *
+     * @return the severity
+     */
+    public Severity severity() {
+        return mSeverity;
+    }
+
+    /**
+     * Returns what happened, in a few words.
+     *
+     * @return the description, as docs/events.md prints it
+     */
+    public String description() {
+        return mDescription;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/azurestage/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Routing: the choice of a backend server for each attempt. */
+package io.azurestage.core.routing;
--- /dev/null
+++ b/store/src/main/java/io/azurestage/store/PlatformStore.java
@@ -0,0 +1,70 @@
+package io.azurestage.store;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/**
+ * The platform's key-value service. Futures complete normally in all cases: failures are outcomes.
+ * Thread-safe.
+ */
+public interface PlatformStore extends AutoCloseable {
+    /** Revision of a key that does not exist. */
+    long ABSENT = 0;
+
+    /** Marks a write that is bound to no lease. */
+    long NO_LEASE = 0;
+
+    /**
+     * Reads one key or all keys with a prefix, in one call, linearizably.
+     *
+     * @param key the key or the prefix
+     * @param prefix true to read all keys that start with it
+     * @return the values found
+     */
+    CompletableFuture<ReadResult> get(String key, boolean prefix);
+
+    /**
+     * Writes a key if its revision is as expected.
+     *
+     * @param key the key
+     * @param expectedRevision revision last read, or {@link #ABSENT}
+     * @param value new value, at most 1 MB
+     * @param lease lease that the key is bound to, or {@link #NO_LEASE}
+     * @return the outcome
+     */
+    CompletableFuture<WriteResult> compareAndSwap(
+            String key, long expectedRevision, byte[] value, long lease);
+
+    /**
+     * Asks for a lease.
+     *
+     * @param timeToLive at least one second
+     * @return the outcome
+     */
+    CompletableFuture<LeaseResult> grantLease(Duration timeToLive);
+
+    /**
+     * Renews a lease.
+     *
+     * @param lease the lease's id
+     * @return the outcome
+     */
+    CompletableFuture<LeaseResult> keepAlive(long lease);
+
+    /**
+     * Watches one key or all keys with a prefix.
+     *
+     * @param key the key or the prefix
+     * @param prefix true to watch all keys that start with it
+     * @param fromRevision first revision to report
+     * @param listener hears events in order, and {@link WatchEvent.Broken} once as the last one
+     * @return closes the watch
+     */
+    AutoCloseable watch(
+            String key, boolean prefix, long fromRevision, Consumer<WatchEvent> listener);
+
+    /** Closes the connections. */
+    @Override
+    void close();
+}
