Name node fields after the house style

Cause: the linter refused 26 field names that the build without tests had not checked. Change: private m-fields with accessors. Conclusion: always run verify, not test.

--- a/node/src/main/java/io/azurestage/node/EgressHandler.java
+++ b/node/src/main/java/io/azurestage/node/EgressHandler.java
@@ -46,10 +46,10 @@
             read(Optional.empty(), request, response, callback);
             return true;
         }
-        ContextResult result = mShared.contexts.decode(header);
+        ContextResult result = mShared.contexts().decode(header);
         Optional<Progress> parent =
                 result instanceof ContextResult.Valid valid
-                        ? mShared.progress.find(valid.context().attemptId())
+                        ? mShared.progress().find(valid.context().attemptId())
                         : Optional.empty();
         if (parent.isEmpty()) {
             refuseContext(result, response, callback);
@@ -66,7 +66,7 @@
                 result instanceof ContextResult.Valid valid
                         ? valid.context().requestId()
                         : RequestId.random(ThreadLocalRandom.current());
-        mShared.metrics.contextRefused.labelValues(reason).inc();
+        mShared.metrics().contextRefused().labelValues(reason).inc();
         mShared.event(EventType.CONTEXT_REFUSED, id, "", Map.of("reason", reason));
         Replies.refuse(
                 mShared,
@@ -82,7 +82,7 @@
 
     private void read(
             Optional<Progress> parent, Request request, Response response, Callback callback) {
-        int limit = mShared.settings.maxBodyBytes();
+        int limit = mShared.settings().maxBodyBytes();
         Body.read(request, limit)
                 .whenComplete(
                         (body, failure) -> {
@@ -161,7 +161,7 @@
                             RefusalKind.TICKET_REQUIRED,
                             "a request that may be run again cannot make a call that may not"));
         }
-        if (call.id().rank() >= mShared.levels.fraction(call.chainKey())) {
+        if (call.id().rank() >= mShared.levels().fraction(call.chainKey())) {
             return Optional.of(
                     Refusal.notRun(RefusalKind.OVERLOADED, "a service of the chain is overloaded"));
         }
@@ -188,7 +188,7 @@
                         c.entryFraction(),
                         p.isRepeatable(),
                         c.retry());
-        double below = mShared.levels.fraction(call.chainKey());
+        double below = mShared.levels().fraction(call.chainKey());
         return below < call.entryFraction() ? withFraction(call, below) : call;
     }
 
@@ -215,14 +215,14 @@
     /** A call that belongs to no request gets the least privilege. */
     private Call background(
             RequestId id, ServiceSpec spec, Operation op, Request request, byte[] body) {
-        Duration allowed = Duration.ofMillis(mShared.settings.defaultDeadlineMillis());
-        Instant deadline = mShared.time.now().plus(allowed);
+        Duration allowed = Duration.ofMillis(mShared.settings().defaultDeadlineMillis());
+        Instant deadline = mShared.time().now().plus(allowed);
         return new Call(
                 id,
                 "",
                 WorkClass.BROWSING,
                 deadline,
-                mShared.time.nanos() + allowed.toNanos(),
+                mShared.time().nanos() + allowed.toNanos(),
                 spec.name(),
                 op,
                 request.getMethod(),
--- a/node/src/main/java/io/azurestage/node/Entry.java
+++ b/node/src/main/java/io/azurestage/node/Entry.java
@@ -35,7 +35,7 @@
 
     void handle(RequestId id, Request request, Response response, Callback callback) {
         Optional<Refusal> refusal = check(request);
-        int limit = mShared.settings.maxBodyBytes();
+        int limit = mShared.settings().maxBodyBytes();
         if (refusal.isEmpty() && Body.isTooLong(request, limit)) {
             refusal =
                     Optional.of(
@@ -118,7 +118,7 @@
         Optional<Ticket> ticket = Optional.empty();
         String key = request.getHeaders().get(Headers.IDEMPOTENCY_KEY);
         if (key != null) {
-            ticket = Ticket.decode(key, mShared.signer);
+            ticket = Ticket.decode(key, mShared.signer());
             Optional<Refusal> bad = checkTicket(ticket, request.getHeaders());
             if (bad.isPresent()) {
                 Replies.refuse(mShared, id, response, callback, bad.get());
@@ -198,10 +198,10 @@
         long wanted =
                 h.contains(Headers.DEADLINE_MS)
                         ? h.getLongField(Headers.DEADLINE_MS)
-                        : mShared.settings.defaultDeadlineMillis();
+                        : mShared.settings().defaultDeadlineMillis();
         Duration allowed =
-                Duration.ofMillis(Math.min(wanted, mShared.settings.maxDeadlineMillis()));
-        Instant deadline = mShared.time.now().plus(allowed);
+                Duration.ofMillis(Math.min(wanted, mShared.settings().maxDeadlineMillis()));
+        Instant deadline = mShared.time().now().plus(allowed);
         String partner = h.get(Headers.PARTNER);
         ChainKey key =
                 new ChainKey(
@@ -214,7 +214,7 @@
                 partner,
                 workClass,
                 deadline,
-                mShared.time.nanos() + allowed.toNanos(),
+                mShared.time().nanos() + allowed.toNanos(),
                 spec.name(),
                 op,
                 request.getMethod(),
@@ -223,7 +223,7 @@
                 body,
                 ticket,
                 0,
-                mShared.levels.fraction(key),
+                mShared.levels().fraction(key),
                 op.idempotent(),
                 false);
     }
--- a/node/src/main/java/io/azurestage/node/Flights.java
+++ b/node/src/main/java/io/azurestage/node/Flights.java
@@ -36,7 +36,7 @@
         @Override
         public void refuse(Refusal r) {
             if (end()) {
-                mMetrics.refusals
+                mMetrics.refusals()
                         .labelValues(r.kind().text(), mCall.partner(), mCall.workClass().name())
                         .inc();
                 mNext.refuse(r);
@@ -46,7 +46,7 @@
         @Override
         public void whole(int status, HttpFields headers, byte[] body) {
             if (end()) {
-                mMetrics.completed.labelValues(mCall.partner(), mCall.workClass().name()).inc();
+                mMetrics.completed().labelValues(mCall.partner(), mCall.workClass().name()).inc();
                 mNext.whole(status, headers, body);
             }
         }
--- a/node/src/main/java/io/azurestage/node/Forwarding.java
+++ b/node/src/main/java/io/azurestage/node/Forwarding.java
@@ -70,7 +70,7 @@
             refuse(RefusalKind.CANCELLED, "the caller went away");
             return;
         }
-        long left = mCall.deadlineNanos() - mShared.time.nanos();
+        long left = mCall.deadlineNanos() - mShared.time().nanos();
         if (left <= 0) {
             refuse(RefusalKind.DEADLINE_EXCEEDED, "the deadline passed before an attempt");
             return;
@@ -86,9 +86,9 @@
     private Optional<Pick> pick() {
         Optional<Ticket> ticket = ticket();
         if (ticket.isPresent()) {
-            return mShared.router.find(ticket.get().owner());
+            return mShared.router().find(ticket.get().owner());
         }
-        return mShared.router.pick(mCall.service(), mExclude);
+        return mShared.router().pick(mCall.service(), mExclude);
     }
 
     private Optional<Ticket> ticket() {
@@ -111,7 +111,7 @@
             refuse(RefusalKind.BAD_REQUEST, "the path is not valid: " + bad.getMessage());
             return;
         }
-        mShared.metrics.attempts.labelValues(mCall.service()).inc();
+        mShared.metrics().attempts().labelValues(mCall.service()).inc();
         mShared.event(
                 EventType.ATTEMPT_STARTED,
                 mCall.id(),
@@ -130,7 +130,7 @@
                                 h -> {
                                     h.add(mCall.headers());
                                     h.put(Headers.SERVICE, mCall.service());
-                                    h.put(Headers.CONTEXT, mShared.contexts.encode(ctx));
+                                    h.put(Headers.CONTEXT, mShared.contexts().encode(ctx));
                                     ticket().ifPresent(t -> putTicket(h, t));
                                 });
         if (mCall.body().length > 0) {
@@ -141,7 +141,7 @@
     }
 
     private void putTicket(org.eclipse.jetty.http.HttpFields.Mutable h, Ticket t) {
-        h.put(Headers.IDEMPOTENCY_KEY, t.encode(mShared.signer));
+        h.put(Headers.IDEMPOTENCY_KEY, t.encode(mShared.signer()));
     }
 
     private RequestContext context(Endpoint e, int lent) {
@@ -157,13 +157,13 @@
                 mCall.repeatable(),
                 mRetry,
                 e.node(),
-                mShared.clock.tick());
+                mShared.clock().tick());
     }
 
     private Ticket newTicket(Endpoint e) {
         byte[] nonce = new byte[NONCE_BYTES];
         ThreadLocalRandom.current().nextBytes(nonce);
-        Instant expiry = mShared.time.now().plusMillis(mShared.settings.ticketWindowMillis());
+        Instant expiry = mShared.time().now().plusMillis(mShared.settings().ticketWindowMillis());
         return new Ticket(
                 e.node(), e.service(), mCall.partner(), HexFormat.of().formatHex(nonce), expiry);
     }
@@ -186,14 +186,14 @@
     }
 
     private void retry(Refusal ifImpossible) {
-        long left = mCall.deadlineNanos() - mShared.time.nanos();
+        long left = mCall.deadlineNanos() - mShared.time().nanos();
         long backoff = ThreadLocalRandom.current().nextLong(MAX_BACKOFF.toNanos());
         if (left <= backoff || !mAllowance.tryRetry()) {
             mSink.refuse(settle(ifImpossible));
             return;
         }
         mRetry = true;
-        mShared.metrics.retries.labelValues(mCall.service(), mCall.partner()).inc();
+        mShared.metrics().retries().labelValues(mCall.service(), mCall.partner()).inc();
         mShared.event(
                 EventType.RETRY_STARTED,
                 mCall.id(),
@@ -207,7 +207,7 @@
         private final Pick mPick;
         private final RequestContext mContext;
         private final int mLent;
-        private final long mStart = mShared.time.nanos();
+        private final long mStart = mShared.time().nanos();
         private final AtomicBoolean mDone = new AtomicBoolean();
         private StreamSink mStream;
 
@@ -328,20 +328,20 @@
         }
 
         private Optional<AnswerMeta> meta(Response r) {
-            return mShared.answers
+            return mShared.answers()
                     .decode(r.getHeaders().get(Headers.ANSWER))
                     .filter(m -> m.requestId().equals(mCall.id()))
                     .filter(m -> m.attemptId() == mContext.attemptId());
         }
 
         private void learn(AnswerMeta m) {
-            mShared.clock.receive(m.time());
+            mShared.clock().receive(m.time());
             mAllowance.giveBack(Math.min(mLent, m.unusedAllowance()));
-            mShared.levels.learn(mCall.chainKey(), m.levels());
+            mShared.levels().learn(mCall.chainKey(), m.levels());
         }
 
         private void foreign() {
-            mShared.metrics.dropped.labelValues("foreign").inc();
+            mShared.metrics().dropped().labelValues("foreign").inc();
             mShared.event(
                     EventType.ANSWER_DROPPED,
                     mCall.id(),
@@ -351,7 +351,7 @@
         }
 
         private Duration retryAfter(Response r) {
-            return mShared.answers.decode(r.getHeaders().get(Headers.ANSWER)).isPresent()
+            return mShared.answers().decode(r.getHeaders().get(Headers.ANSWER)).isPresent()
                     ? Duration.ofMillis(
                             Math.max(0, r.getHeaders().getLongField(Headers.RETRY_AFTER_MS)))
                     : Duration.ZERO;
@@ -359,7 +359,7 @@
 
         private void report(AttemptResult result, double load) {
             if (mDone.compareAndSet(false, true)) {
-                mPick.done(result, mShared.time.nanos() - mStart, load);
+                mPick.done(result, mShared.time().nanos() - mStart, load);
             }
         }
     }
--- a/node/src/main/java/io/azurestage/node/Hop.java
+++ b/node/src/main/java/io/azurestage/node/Hop.java
@@ -29,7 +29,7 @@
     }
 
     void handle(Request request, Response response, Callback callback) {
-        ContextResult result = mShared.contexts.decode(request.getHeaders().get(Headers.CONTEXT));
+        ContextResult result = mShared.contexts().decode(request.getHeaders().get(Headers.CONTEXT));
         if (result instanceof ContextResult.Valid valid) {
             accept(valid.context(), request, response, callback);
         } else {
@@ -40,7 +40,7 @@
     private void refuseContext(ContextResult result, Response response, Callback callback) {
         RequestId id = RequestId.random(ThreadLocalRandom.current());
         String reason = result.getClass().getSimpleName();
-        mShared.metrics.contextRefused.labelValues(reason).inc();
+        mShared.metrics().contextRefused().labelValues(reason).inc();
         mShared.event(EventType.CONTEXT_REFUSED, id, "", Map.of("reason", reason));
         Replies.refuse(
                 mShared,
@@ -52,9 +52,9 @@
     }
 
     private void accept(RequestContext ctx, Request request, Response response, Callback callback) {
-        mShared.clock.receive(ctx.time());
+        mShared.clock().receive(ctx.time());
         long deadlineNanos = mShared.nanosOf(ctx.deadline());
-        if (deadlineNanos - mShared.time.nanos() <= 0) {
+        if (deadlineNanos - mShared.time().nanos() <= 0) {
             answerFor(ctx, response, callback)
                     .refuse(
                             Refusal.notRun(
@@ -62,8 +62,8 @@
                                     "the deadline passed on the way"));
             return;
         }
-        if (!mShared.progress.firstSight(ctx.attemptId(), deadlineNanos)) {
-            mShared.metrics.contextRefused.labelValues("Duplicate").inc();
+        if (!mShared.progress().firstSight(ctx.attemptId(), deadlineNanos)) {
+            mShared.metrics().contextRefused().labelValues("Duplicate").inc();
             // The first copy may be running, so nothing can be said about the attempt itself.
             Replies.refuse(
                     mShared,
@@ -77,7 +77,7 @@
             answerFor(ctx, response, callback).refuse(Replies.notReady());
             return;
         }
-        int limit = mShared.settings.maxBodyBytes();
+        int limit = mShared.settings().maxBodyBytes();
         Body.read(request, limit)
                 .whenComplete(
                         (body, failure) -> {
@@ -101,18 +101,18 @@
         Cancellation cancellation = new Cancellation();
         Progress progress =
                 new Progress(
-                        ctx, ctx.repeatable() || call.mayRunAgain(), cancellation, mShared.time);
+                        ctx, ctx.repeatable() || call.mayRunAgain(), cancellation, mShared.time());
         ResponseSink sink =
                 new ResponseSink(
                         response,
                         callback,
                         ctx.requestId().toString(),
                         o -> answerHeader(ctx, call, progress, o));
-        if (!mShared.settings.service().equals(call.service())) {
+        if (!mShared.settings().service().equals(call.service())) {
             sink.refuse(
                     Refusal.notRun(
                             RefusalKind.NO_BACKEND_SERVER,
-                            "this node serves " + mShared.settings.service()));
+                            "this node serves " + mShared.settings().service()));
             return;
         }
         request.addFailureListener(t -> cancellation.cancel());
@@ -130,8 +130,8 @@
                         progress.allowance().close(),
                         mOwner.levels(call, progress),
                         mOwner.load(),
-                        mShared.clock.tick());
-        return HttpFields.build().put(Headers.ANSWER, mShared.answers.encode(meta));
+                        mShared.clock().tick());
+        return HttpFields.build().put(Headers.ANSWER, mShared.answers().encode(meta));
     }
 
     /** A sink for refusals before anything is known of the call. */
@@ -144,16 +144,17 @@
                         HttpFields.build()
                                 .put(
                                         Headers.ANSWER,
-                                        mShared.answers.encode(
-                                                new AnswerMeta(
-                                                        ctx.requestId(),
-                                                        ctx.attemptId(),
-                                                        o.ran(),
-                                                        o.kind(),
-                                                        ctx.allowance(),
-                                                        Map.of(),
-                                                        mOwner.load(),
-                                                        mShared.clock.tick()))));
+                                        mShared.answers()
+                                                .encode(
+                                                        new AnswerMeta(
+                                                                ctx.requestId(),
+                                                                ctx.attemptId(),
+                                                                o.ran(),
+                                                                o.kind(),
+                                                                ctx.allowance(),
+                                                                Map.of(),
+                                                                mOwner.load(),
+                                                                mShared.clock().tick()))));
     }
 
     private Call call(RequestContext ctx, long deadlineNanos, byte[] body, Request request) {
@@ -166,7 +167,7 @@
                         .operation(request.getMethod(), request.getHttpURI().getPath());
         String key = h.get(Headers.IDEMPOTENCY_KEY);
         Optional<Ticket> ticket =
-                key == null ? Optional.empty() : Ticket.decode(key, mShared.signer);
+                key == null ? Optional.empty() : Ticket.decode(key, mShared.signer());
         return new Call(
                 ctx.requestId(),
                 ctx.partner(),
--- a/node/src/main/java/io/azurestage/node/Node.java
+++ b/node/src/main/java/io/azurestage/node/Node.java
@@ -49,7 +49,7 @@
         Router router = new Router(s.dataCentre(), s.region(), time, RandomGenerator.getDefault());
         Signer signer = new Signer(HexFormat.of().parseHex(s.meshKey()));
         mShared = new Shared(s, self, time, clock, signer, router, events, new NodeMetrics());
-        mFlights = new Flights(mShared.metrics);
+        mFlights = new Flights(mShared.metrics());
         mTimer = Executors.newSingleThreadScheduledExecutor(Node::timerThread);
         mAdmission = new AdmissionDuty(new AdmissionController(s.slots(), time), s.slots());
         mToNodes = HttpClients.toNodes(s);
@@ -96,11 +96,11 @@
         HttpClients.start(mToBackend);
         mServers.start();
         mTimer.scheduleWithFixedDelay(
-                () -> mShared.progress.expire(mShared.time.nanos()),
+                () -> mShared.progress().expire(mShared.time().nanos()),
                 SWEEP_MILLIS,
                 SWEEP_MILLIS,
                 TimeUnit.MILLISECONDS);
-        mShared.events.record(EventType.NODE_STARTED, Map.of("ingress", ingress().toString()));
+        mShared.events().record(EventType.NODE_STARTED, Map.of("ingress", ingress().toString()));
     }
 
     /**
@@ -109,7 +109,7 @@
      * @return node id and incarnation
      */
     public NodeIdentity identity() {
-        return mShared.self;
+        return mShared.self();
     }
 
     /**
@@ -140,7 +140,7 @@
         mOwner.configure(config);
         if (mShared.lifecycle() == Lifecycle.JOINING) {
             mShared.lifecycle(Lifecycle.SERVING);
-            mShared.events.record(EventType.NODE_READY, Map.of());
+            mShared.events().record(EventType.NODE_READY, Map.of());
         }
     }
 
@@ -150,7 +150,7 @@
      * @param endpoints all that are alive
      */
     public void endpoints(List<Endpoint> endpoints) {
-        mShared.router.update(endpoints);
+        mShared.router().update(endpoints);
     }
 
     /** Ends the node at once. Use {@link #drain} before, so that no request is cut off. */
--- a/node/src/main/java/io/azurestage/node/NodeMetrics.java
+++ b/node/src/main/java/io/azurestage/node/NodeMetrics.java
@@ -10,26 +10,59 @@
 final class NodeMetrics {
     private final PrometheusRegistry mRegistry = new PrometheusRegistry();
 
-    final Counter refusals =
+    private final Counter mRefusals =
             counter("azurestage_refusals_total", "refused calls", "kind", "partner", "work_class");
-    final Counter completed =
+    private final Counter mCompleted =
             counter("azurestage_completed_total", "calls answered whole", "partner", "work_class");
-    final Counter attempts = counter("azurestage_attempts_total", "attempts sent", "service");
-    final Counter retries =
+    private final Counter mAttempts =
+            counter("azurestage_attempts_total", "attempts sent", "service");
+    private final Counter mRetries =
             counter("azurestage_retries_total", "retries sent", "service", "partner");
-    final Counter dropped =
+    private final Counter mDropped =
             counter("azurestage_answers_dropped_total", "foreign or broken answers", "reason");
-    final Counter contextRefused =
+    private final Counter mContextRefused =
             counter("azurestage_contexts_refused_total", "contexts not accepted", "reason");
-    final Counter ticketClaims =
+    private final Counter mTicketClaims =
             counter("azurestage_ticket_claims_total", "outcomes of ticket claims", "outcome");
-    final Gauge lent =
+    private final Gauge mLent =
             Gauge.builder()
                     .name("azurestage_lent_slots")
                     .help("slots lent from one partner's share to another partner")
                     .labelNames("lender", "borrower", "work_class")
                     .register(mRegistry);
 
+    Counter refusals() {
+        return mRefusals;
+    }
+
+    Counter completed() {
+        return mCompleted;
+    }
+
+    Counter attempts() {
+        return mAttempts;
+    }
+
+    Counter retries() {
+        return mRetries;
+    }
+
+    Counter dropped() {
+        return mDropped;
+    }
+
+    Counter contextRefused() {
+        return mContextRefused;
+    }
+
+    Counter ticketClaims() {
+        return mTicketClaims;
+    }
+
+    Gauge lent() {
+        return mLent;
+    }
+
     PrometheusRegistry registry() {
         return mRegistry;
     }
--- a/node/src/main/java/io/azurestage/node/Owner.java
+++ b/node/src/main/java/io/azurestage/node/Owner.java
@@ -50,7 +50,7 @@
         Claim claim =
                 mOnce.claim(ticket, Fingerprints.of(call), answer -> replay(call, answer, sink));
         String outcome = claim.getClass().getSimpleName();
-        mShared.metrics.ticketClaims.labelValues(outcome).inc();
+        mShared.metrics().ticketClaims().labelValues(outcome).inc();
         if (claim instanceof Claim.First) {
             if (isLeaving(sink)) {
                 mOnce.seal(ticket);
@@ -116,10 +116,10 @@
 
     /** Fractions to report upstream: this server's own and those of the services below. */
     Map<String, Double> levels(Call call, Progress progress) {
-        Map<String, Double> all = new HashMap<>(progress.levels(mShared.levels));
+        Map<String, Double> all = new HashMap<>(progress.levels(mShared.levels()));
         Double own = mAdmission.fractions().get(new PartnerClass(call.partner(), call.workClass()));
         if (own != null) {
-            all.merge(mShared.settings.service(), own, Math::min);
+            all.merge(mShared.settings().service(), own, Math::min);
         }
         return all;
     }
--- a/node/src/main/java/io/azurestage/node/OwnerRun.java
+++ b/node/src/main/java/io/azurestage/node/OwnerRun.java
@@ -52,7 +52,7 @@
         mProgress = progress;
         mSink = sink;
         mTicketed = ticketed;
-        mArrived = shared.time.nanos();
+        mArrived = shared.time().nanos();
         mWork =
                 new Work(
                         call.partner(),
@@ -99,8 +99,8 @@
 
     @Override
     public void run() {
-        mStarted = mShared.time.nanos();
-        mShared.progress.add(mProgress);
+        mStarted = mShared.time().nanos();
+        mShared.progress().add(mProgress);
         mShared.event(
                 EventType.REQUEST_ADMITTED,
                 mCall.id(),
@@ -121,14 +121,14 @@
         RequestContext ctx = mProgress.context();
         long left = Math.max(1, mCall.deadlineNanos() - mStarted);
         Request r =
-                mClient.newRequest("http://" + mShared.settings.backend() + mCall.target())
+                mClient.newRequest("http://" + mShared.settings().backend() + mCall.target())
                         .method(mCall.method())
                         .timeout(left + (mTicketed ? TICKET_EXTRA_NANOS : 0), TimeUnit.NANOSECONDS)
                         .headers(
                                 h -> {
                                     h.add(mCall.headers());
                                     h.remove(Headers.IDEMPOTENCY_KEY);
-                                    h.put(Headers.CONTEXT, mShared.contexts.encode(ctx));
+                                    h.put(Headers.CONTEXT, mShared.contexts().encode(ctx));
                                     h.put(Headers.PARTNER, mCall.partner());
                                     h.put(Headers.REQUEST_ID, mCall.id().toString());
                                     h.put(Headers.DEADLINE_MS, TimeUnit.NANOSECONDS.toMillis(left));
@@ -161,7 +161,7 @@
                         String.valueOf(r.getStatus()),
                         "ranMicros",
                         String.valueOf(
-                                TimeUnit.NANOSECONDS.toMicros(mShared.time.nanos() - mStarted)),
+                                TimeUnit.NANOSECONDS.toMicros(mShared.time().nanos() - mStarted)),
                         "waitedBelowMicros",
                         String.valueOf(TimeUnit.NANOSECONDS.toMicros(mProgress.waitedNanos()))));
         mSink.whole(r.getStatus(), Headers.endToEnd(r.getHeaders(), true), body);
@@ -225,8 +225,8 @@
         if (!mCompleted.compareAndSet(false, true)) {
             return;
         }
-        mShared.progress.remove(mProgress);
-        long total = mShared.time.nanos() - mStarted;
+        mShared.progress().remove(mProgress);
+        long total = mShared.time().nanos() - mStarted;
         long own = Math.max(0, total - mProgress.waitedNanos());
         mAdmission.complete(mWork, new Completion(total, own, outcome));
     }
--- a/node/src/main/java/io/azurestage/node/Replies.java
+++ b/node/src/main/java/io/azurestage/node/Replies.java
@@ -15,7 +15,7 @@
 
     static void refuse(
             Shared shared, RequestId id, Response response, Callback callback, Refusal r) {
-        shared.metrics.refusals.labelValues(r.kind().text(), "", "").inc();
+        shared.metrics().refusals().labelValues(r.kind().text(), "", "").inc();
         new ResponseSink(response, callback, id.toString(), o -> HttpFields.EMPTY).refuse(r);
     }
 
--- a/node/src/main/java/io/azurestage/node/Shared.java
+++ b/node/src/main/java/io/azurestage/node/Shared.java
@@ -17,18 +17,18 @@
 
 /** What all parts of a node share. Thread-safe. */
 final class Shared {
-    final NodeSettings settings;
-    final NodeIdentity self;
-    final TimeSource time;
-    final HybridClock clock;
-    final Signer signer;
-    final ContextCodec contexts;
-    final AnswerCodec answers;
-    final Router router;
-    final ChainLevels levels;
-    final EventLog events;
-    final NodeMetrics metrics;
-    final ProgressTable progress = new ProgressTable();
+    private final NodeSettings mSettings;
+    private final NodeIdentity mSelf;
+    private final TimeSource mTime;
+    private final HybridClock mClock;
+    private final Signer mSigner;
+    private final ContextCodec mContexts;
+    private final AnswerCodec mAnswers;
+    private final Router mRouter;
+    private final ChainLevels mLevels;
+    private final EventLog mEvents;
+    private final NodeMetrics mMetrics;
+    private final ProgressTable mProgress = new ProgressTable();
     private volatile MeshConfig mConfig;
     private volatile Lifecycle mLifecycle = Lifecycle.JOINING;
 
@@ -41,17 +41,65 @@
             Router router,
             EventLog events,
             NodeMetrics metrics) {
-        this.settings = settings;
-        this.self = self;
-        this.time = time;
-        this.clock = clock;
-        this.signer = signer;
-        this.router = router;
-        this.events = events;
-        this.metrics = metrics;
-        contexts = new ContextCodec(signer, self);
-        answers = new AnswerCodec(signer);
-        levels = new ChainLevels(time);
+        mSettings = settings;
+        mSelf = self;
+        mTime = time;
+        mClock = clock;
+        mSigner = signer;
+        mRouter = router;
+        mEvents = events;
+        mMetrics = metrics;
+        mContexts = new ContextCodec(signer, self);
+        mAnswers = new AnswerCodec(signer);
+        mLevels = new ChainLevels(time);
+    }
+
+    NodeSettings settings() {
+        return mSettings;
+    }
+
+    NodeIdentity self() {
+        return mSelf;
+    }
+
+    TimeSource time() {
+        return mTime;
+    }
+
+    HybridClock clock() {
+        return mClock;
+    }
+
+    Signer signer() {
+        return mSigner;
+    }
+
+    ContextCodec contexts() {
+        return mContexts;
+    }
+
+    AnswerCodec answers() {
+        return mAnswers;
+    }
+
+    Router router() {
+        return mRouter;
+    }
+
+    ChainLevels levels() {
+        return mLevels;
+    }
+
+    EventLog events() {
+        return mEvents;
+    }
+
+    NodeMetrics metrics() {
+        return mMetrics;
+    }
+
+    ProgressTable progress() {
+        return mProgress;
     }
 
     MeshConfig config() {
@@ -76,10 +124,10 @@
 
     /** Converts a wall-clock deadline to the monotonic clock. */
     long nanosOf(Instant deadline) {
-        return time.nanos() + java.time.Duration.between(time.now(), deadline).toNanos();
+        return mTime.nanos() + java.time.Duration.between(mTime.now(), deadline).toNanos();
     }
 
     void event(EventType type, RequestId id, String partner, Map<String, String> fields) {
-        events.record(type, id.toString(), partner, fields);
+        mEvents.record(type, id.toString(), partner, fields);
     }
 }
--- a/node/src/main/java/io/azurestage/node/Tickets.java
+++ b/node/src/main/java/io/azurestage/node/Tickets.java
@@ -40,7 +40,7 @@
             return;
         }
         String service = service(request);
-        Optional<Pick> pick = mShared.router.pick(service, Set.of());
+        Optional<Pick> pick = mShared.router().pick(service, Set.of());
         if (pick.isEmpty()) {
             Replies.refuse(
                     mShared,
@@ -84,7 +84,7 @@
     private Ticket issue(Pick pick, String service, String partner) {
         byte[] nonce = new byte[NONCE_BYTES];
         mRandom.nextBytes(nonce);
-        Instant expiry = mShared.time.now().plusMillis(mShared.settings.ticketWindowMillis());
+        Instant expiry = mShared.time().now().plusMillis(mShared.settings().ticketWindowMillis());
         return new Ticket(
                 pick.endpoint().node(), service, partner, HexFormat.of().formatHex(nonce), expiry);
     }
@@ -95,7 +95,7 @@
                     MAPPER.writeValueAsBytes(
                             Map.of(
                                     "ticket",
-                                    t.encode(mShared.signer),
+                                    t.encode(mShared.signer()),
                                     "expiresAt",
                                     t.expiresAt().toString()));
             response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
--- a/node/src/test/java/io/azurestage/node/FakeBackend.java
+++ b/node/src/test/java/io/azurestage/node/FakeBackend.java
@@ -14,9 +14,9 @@
 
 /** A backend server that calls the next service and answers with both names. */
 final class FakeBackend implements AutoCloseable {
-    final AtomicInteger runs = new AtomicInteger();
-    volatile Behaviour behaviour = this::callNext;
-    volatile HostPort egress;
+    private final AtomicInteger mRuns = new AtomicInteger();
+    private volatile Behaviour mBehaviour = this::callNext;
+    private volatile HostPort mEgress;
 
     private final Server mServer = new Server();
     private final ServerConnector mConnector = new ServerConnector(mServer);
@@ -39,8 +39,8 @@
                     @Override
                     public boolean handle(Request request, Response response, Callback callback)
                             throws Exception {
-                        runs.incrementAndGet();
-                        behaviour.handle(request, response, callback);
+                        mRuns.incrementAndGet();
+                        mBehaviour.handle(request, response, callback);
                         return true;
                     }
                 });
@@ -48,6 +48,18 @@
         mClient.start();
     }
 
+    int runs() {
+        return mRuns.get();
+    }
+
+    void behaviour(Behaviour behaviour) {
+        mBehaviour = behaviour;
+    }
+
+    void egress(HostPort egress) {
+        mEgress = egress;
+    }
+
     HostPort address() {
         return new HostPort("127.0.0.1", mConnector.getLocalPort());
     }
@@ -58,7 +70,7 @@
             return;
         }
         ContentResponse r =
-                mClient.newRequest("http://" + egress + request.getHttpURI().getPathQuery())
+                mClient.newRequest("http://" + mEgress + request.getHttpURI().getPathQuery())
                         .method(request.getMethod())
                         .headers(
                                 h -> {
--- a/node/src/test/java/io/azurestage/node/PathTest.java
+++ b/node/src/test/java/io/azurestage/node/PathTest.java
@@ -27,15 +27,15 @@
     class Answers {
         @Test
         void comeWholeThroughThreeServices() throws Exception {
-            ContentResponse r = mMesh.send(mMesh.nodes.get(2), "GET", "/bookings/1", x -> {});
+            ContentResponse r = mMesh.send(mMesh.node(2), "GET", "/bookings/1", x -> {});
             assertThat(r.getContentAsString()).isEqualTo("a>b>c");
         }
 
         // Guards against an inner refusal that is taken for the refusal of the whole request.
         @Test
         void ofAParentNeverSayNotRunForItsSubCall() throws Exception {
-            mMesh.nodes.get(2).close();
-            ContentResponse r = mMesh.send(mMesh.nodes.get(0), "GET", "/bookings/1", x -> {});
+            mMesh.node(2).close();
+            ContentResponse r = mMesh.send(mMesh.node(0), "GET", "/bookings/1", x -> {});
             assertThat(r.getStatus()).isEqualTo(502);
             assertThat(r.getContentAsString())
                     .contains("\"kind\":\"dependency-failed\"", "\"ran\":\"unknown\"");
@@ -46,17 +46,17 @@
     class Tickets {
         @Test
         void areRequiredForNonIdempotentCalls() throws Exception {
-            ContentResponse r = mMesh.send(mMesh.nodes.get(0), "POST", "/advances", x -> {});
+            ContentResponse r = mMesh.send(mMesh.node(0), "POST", "/advances", x -> {});
             assertThat(r.getContentAsString()).contains("ticket-required", "not-run");
-            assertThat(mMesh.backends.get(0).runs).hasValue(0);
+            assertThat(mMesh.backend(0).runs()).isEqualTo(0);
         }
 
         // Guards against an advance that is recorded twice when its answer is lost.
         @Test
         void runARequestOnce() throws Exception {
-            String ticket = mMesh.ticket(mMesh.nodes.get(1), "a");
-            mMesh.backends.get(0).behaviour = (q, s, c) -> FakeBackend.reply(s, c, 200, "recorded");
-            for (Node entry : mMesh.nodes) {
+            String ticket = mMesh.ticket(mMesh.node(1), "a");
+            mMesh.backend(0).behaviour((q, s, c) -> FakeBackend.reply(s, c, 200, "recorded"));
+            for (Node entry : mMesh.nodes()) {
                 ContentResponse r =
                         mMesh.send(
                                 entry,
@@ -68,7 +68,7 @@
                                 });
                 assertThat(r.getStatus()).isLessThan(500);
             }
-            assertThat(mMesh.backends.get(0).runs).hasValue(1);
+            assertThat(mMesh.backend(0).runs()).isEqualTo(1);
         }
     }
 
@@ -78,7 +78,7 @@
         void withoutACredentialAreRefused() throws Exception {
             ContentResponse r =
                     mMesh.send(
-                            mMesh.nodes.get(0),
+                            mMesh.node(0),
                             "GET",
                             "/bookings/1",
                             x -> x.headers(h -> h.put("Authorization", "Bearer guess")));
@@ -89,7 +89,7 @@
         void withAForgedContextAreRefused() throws Exception {
             ContentResponse r =
                     mMesh.send(
-                            mMesh.nodes.get(0),
+                            mMesh.node(0),
                             "GET",
                             "/bookings/1",
                             x -> x.headers(h -> h.put(Headers.CONTEXT, "AAAA.AAAA")));
@@ -101,7 +101,7 @@
         void withABodyOverTheLimitAreRefused() throws Exception {
             ContentResponse r =
                     mMesh.send(
-                            mMesh.nodes.get(0),
+                            mMesh.node(0),
                             "POST",
                             "/advances",
                             x -> x.body(new StringRequestContent("x".repeat(2 << 20))));
--- a/node/src/test/java/io/azurestage/node/TestMesh.java
+++ b/node/src/test/java/io/azurestage/node/TestMesh.java
@@ -16,15 +16,15 @@
     static final String CREDENTIAL = "credential of the hire house";
     static final List<String> CHAIN = List.of("a", "b", "c");
 
-    final List<FakeBackend> backends = new ArrayList<>();
-    final List<Node> nodes = new ArrayList<>();
-    final HttpClient client = new HttpClient();
+    private final List<FakeBackend> mBackends = new ArrayList<>();
+    private final List<Node> mNodes = new ArrayList<>();
+    private final HttpClient mClient = new HttpClient();
     private final List<Endpoint> mEndpoints = new ArrayList<>();
     private final MeshConfig mConfig;
 
     TestMesh() throws Exception {
         mConfig = config();
-        client.start();
+        mClient.start();
         for (int i = 0; i < CHAIN.size(); i++) {
             add(CHAIN.get(i), i + 1 < CHAIN.size() ? CHAIN.get(i + 1) : "");
         }
@@ -41,12 +41,24 @@
         return b.build();
     }
 
+    FakeBackend backend(int i) {
+        return mBackends.get(i);
+    }
+
+    Node node(int i) {
+        return mNodes.get(i);
+    }
+
+    List<Node> nodes() {
+        return List.copyOf(mNodes);
+    }
+
     Node add(String service, String next) throws Exception {
         FakeBackend backend = new FakeBackend(service, next);
-        Node node = Node.start(settings("node-" + nodes.size(), service, backend.address()));
-        backend.egress = node.egress();
-        backends.add(backend);
-        nodes.add(node);
+        Node node = Node.start(settings("node-" + mNodes.size(), service, backend.address()));
+        backend.egress(node.egress());
+        mBackends.add(backend);
+        mNodes.add(node);
         mEndpoints.add(
                 new Endpoint(
                         node.identity(),
@@ -57,7 +69,7 @@
                         8,
                         Endpoint.State.SERVING,
                         0));
-        for (Node n : nodes) {
+        for (Node n : mNodes) {
             n.apply(mConfig);
             n.endpoints(mEndpoints);
         }
@@ -88,7 +100,7 @@
     }
 
     Request request(Node entry, String method, String path) {
-        return client.newRequest("http://" + entry.ingress() + path)
+        return mClient.newRequest("http://" + entry.ingress() + path)
                 .method(method)
                 .headers(
                         h -> {
@@ -115,11 +127,11 @@
 
     @Override
     public void close() throws Exception {
-        client.stop();
-        for (Node n : nodes) {
+        mClient.stop();
+        for (Node n : mNodes) {
             n.close();
         }
-        for (FakeBackend b : backends) {
+        for (FakeBackend b : mBackends) {
             b.close();
         }
     }
