Add membership, configuration spread and the mesh transport

Change: SWIM-style Membership and ConfigSpread as state machines in core; Mesh runs both on one duty thread over Netty UDP and TCP.

--- /dev/null
+++ b/core/src/main/java/io/azurestage/core/spread/VersionId.java
@@ -0,0 +1,28 @@
+package io.azurestage.core.spread;
+
+import java.util.Objects;
+
+/**
+ * Identity of a configuration version. Versions have one total order: by number, then by change id.
+ *
+ * @param number version number, from 1; 0 stands for no version
+ * @param changeId random id of the change
+ */
+public record VersionId(long number, String changeId) implements Comparable<VersionId> {
+    /** Lower than every version. */
+    public static final VersionId NONE = new VersionId(0, "");
+
+    /** Checks the parts. */
+    public VersionId {
+        Objects.requireNonNull(changeId, "changeId");
+        if (number < 0) {
+            throw new IllegalArgumentException("version number " + number + " is negative");
+        }
+    }
+
+    @Override
+    public int compareTo(VersionId o) {
+        int c = Long.compare(number, o.number);
+        return c != 0 ? c : changeId.compareTo(o.changeId);
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/io/azurestage/mesh/MeshStartException.java
@@ -0,0 +1,20 @@
+package io.azurestage.mesh;
+
+/** The mesh could not open its control port. The message names the port and the remedy. */
+public final class MeshStartException extends RuntimeException {
+    private final String mAddress;
+
+    MeshStartException(String address, String remedy, Throwable cause) {
+        super("cannot open the control address " + address + ": " + remedy, cause);
+        mAddress = address;
+    }
+
+    /**
+     * Returns the address that could not be opened.
+     *
+     * @return {@code host:port}
+     */
+    public String address() {
+        return mAddress;
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/io/azurestage/mesh/Network.java
@@ -0,0 +1,138 @@
+package io.azurestage.mesh;
+
+import io.azurestage.core.membership.Transport;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** The control port, open for UDP and TCP, on one event loop. */
+final class Network {
+    /** A datagram over the limit must still be read whole to be recognised as such. */
+    private static final int RECEIVE_BYTES = 2048;
+
+    private static final int EPHEMERAL_ATTEMPTS = 16;
+    private static final int CLOSE_SECONDS = 2;
+
+    private final MultiThreadIoEventLoopGroup mGroup;
+    private final Counters mCounters;
+    private final TcpClients mClients;
+    private Channel mTcp;
+    private Channel mUdp;
+
+    Network(Counters counters) {
+        mCounters = counters;
+        mGroup =
+                new MultiThreadIoEventLoopGroup(
+                        1, new DefaultThreadFactory("mesh-io", true), NioIoHandler.newFactory());
+        mClients = new TcpClients(mGroup.next(), counters);
+    }
+
+    /**
+     * Opens the port.
+     *
+     * @return the port number, which is a free one if the address has port 0
+     * @throws MeshStartException if the port cannot be opened
+     */
+    int open(String address, EnvelopeCodec codec, Receiver receiver) {
+        InetSocketAddress wanted = Address.parse(address).orElseThrow();
+        TcpServer tcp = new TcpServer(codec, mCounters, receiver);
+        UdpHandler udp = new UdpHandler(codec, mCounters, receiver);
+        Throwable failure = null;
+        for (int i = 0; i < (wanted.getPort() == 0 ? EPHEMERAL_ATTEMPTS : 1); i++) {
+            ChannelFuture server = bindTcp(wanted, tcp);
+            failure = server.cause();
+            if (failure != null) {
+                continue;
+            }
+            InetSocketAddress bound = (InetSocketAddress) server.channel().localAddress();
+            ChannelFuture datagrams = bindUdp(bound, udp);
+            failure = datagrams.cause();
+            if (failure == null) {
+                mTcp = server.channel();
+                mUdp = datagrams.channel();
+                return bound.getPort();
+            }
+            server.channel().close().syncUninterruptibly();
+        }
+        close();
+        String remedy =
+                failure instanceof BindException
+                        ? "it is in use or not an address of this VM; stop the other process or"
+                                + " change controlAddress in the settings"
+                        : String.valueOf(failure);
+        throw new MeshStartException(address, remedy, failure);
+    }
+
+    /** Sends a message; a message that does not fit into a datagram goes over TCP. */
+    void send(String address, byte[] message, Transport transport) {
+        Optional<InetSocketAddress> target = Address.parse(address);
+        if (target.isEmpty() || target.get().getPort() == 0) {
+            mCounters.mUnreachable.increment();
+            return;
+        }
+        if (message.length > FrameDecoder.MAX_FRAME_BYTES) {
+            mCounters.mOversized.increment();
+            return;
+        }
+        if (transport == Transport.TCP || message.length > UdpHandler.MAX_BYTES) {
+            mClients.send(target.get(), message);
+            return;
+        }
+        if (!mUdp.isWritable()) {
+            mCounters.mOverflowed.increment();
+            return;
+        }
+        mCounters.sent(message.length);
+        mUdp.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message), target.get()))
+                .addListener(
+                        w -> {
+                            if (!w.isSuccess()) {
+                                mCounters.mUnreachable.increment();
+                            }
+                        });
+    }
+
+    void close() {
+        if (mUdp != null) {
+            mUdp.close().awaitUninterruptibly(CLOSE_SECONDS, TimeUnit.SECONDS);
+            mTcp.close().awaitUninterruptibly(CLOSE_SECONDS, TimeUnit.SECONDS);
+        }
+        mGroup.shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS)
+                .awaitUninterruptibly(CLOSE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private ChannelFuture bindTcp(InetSocketAddress address, TcpServer server) {
+        return new ServerBootstrap()
+                .group(mGroup)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(server)
+                .bind(address)
+                .awaitUninterruptibly();
+    }
+
+    private ChannelFuture bindUdp(InetSocketAddress address, UdpHandler handler) {
+        return new Bootstrap()
+                .group(mGroup)
+                .channel(NioDatagramChannel.class)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(RECEIVE_BYTES))
+                .handler(handler)
+                .bind(address)
+                .awaitUninterruptibly();
+    }
+}
