Add the etcd adapter of the platform's store

Cause: nodes and operators have the interface PlatformStore but nothing that talks to the key-value service. Change: EtcdStore sends etcd's v3 JSON over Jetty's client. A write is Unavailable only if the request never began on a connection; every other failure is MaybeApplied. Reads try the endpoints in turn, writes go on only when nothing was sent. A watch without data for 60 s is reported as broken, because a dead link gives no other sign.

--- /dev/null
+++ b/store/src/main/java/io/azurestage/store/EtcdHttp.java
@@ -0,0 +1,184 @@
+package io.azurestage.store;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/** Sends JSON over HTTP to several endpoints in turn. */
+final class EtcdHttp implements AutoCloseable {
+    static final int HTTP_OK = 200;
+
+    /** Covers a prefix read of about ten values of the largest size in base64. */
+    static final int MAX_ANSWER_BYTES = 16 << 20;
+
+    private static final int MAX_THREADS = 8;
+
+    /** A watch without any data for this long is taken for broken, as its link may be dead. */
+    static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
+    private final List<URI> mEndpoints;
+    private final Duration mTimeout;
+    private final HttpClient mClient = new HttpClient();
+    private final Scheduler mScheduler =
+            new ScheduledExecutorScheduler("azurestage-store-timer", true);
+    private final Set<Request> mPending = ConcurrentHashMap.newKeySet();
+    private volatile int mPreferred;
+    private volatile boolean mClosed;
+
+    EtcdHttp(List<URI> endpoints, Duration timeout) {
+        mEndpoints = List.copyOf(endpoints);
+        mTimeout = timeout;
+        QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 1);
+        threads.setName("azurestage-store");
+        threads.setDaemon(true);
+        threads.setReservedThreads(0);
+        mClient.setExecutor(threads);
+        mClient.setScheduler(mScheduler);
+        mClient.setConnectTimeout(timeout.toMillis());
+        mClient.setIdleTimeout(IDLE_TIMEOUT.toMillis());
+        mClient.setFollowRedirects(false);
+        try {
+            mClient.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("HTTP client does not start: " + e.getMessage(), e);
+        }
+    }
+
+    Duration timeout() {
+        return mTimeout;
+    }
+
+    Scheduler scheduler() {
+        return mScheduler;
+    }
+
+    int endpoints() {
+        return mEndpoints.size();
+    }
+
+    int preferred() {
+        return mPreferred;
+    }
+
+    void prefer(int endpoint) {
+        mPreferred = endpoint;
+    }
+
+    /**
+     * Posts a body and waits for the whole answer.
+     *
+     * @param repeatable true if the call may be sent to another endpoint after a lost answer
+     */
+    CompletableFuture<HttpOutcome> call(String path, String body, boolean repeatable) {
+        return attempt(path, body, repeatable, mPreferred, 1);
+    }
+
+    private CompletableFuture<HttpOutcome> attempt(
+            String path, String body, boolean repeatable, int endpoint, int count) {
+        return post(endpoint, path, body)
+                .thenCompose(
+                        outcome -> {
+                            boolean mayGoOn =
+                                    outcome instanceof HttpOutcome.NotSent
+                                            || repeatable && outcome instanceof HttpOutcome.Lost;
+                            if (!mayGoOn || count == mEndpoints.size() || mClosed) {
+                                return CompletableFuture.completedFuture(outcome);
+                            }
+                            int next = (endpoint + 1) % mEndpoints.size();
+                            return attempt(path, body, repeatable, next, count + 1);
+                        });
+    }
+
+    private CompletableFuture<HttpOutcome> post(int endpoint, String path, String body) {
+        CompletableFuture<HttpOutcome> done = new CompletableFuture<>();
+        AtomicBoolean begun = new AtomicBoolean();
+        try {
+            Request request =
+                    request(endpoint, path, body)
+                            .timeout(mTimeout.toMillis(), TimeUnit.MILLISECONDS)
+                            .onRequestBegin(r -> begun.set(true));
+            send(
+                    request,
+                    new BufferingResponseListener(MAX_ANSWER_BYTES) {
+                        @Override
+                        public void onComplete(Result result) {
+                            forget(request);
+                            HttpOutcome outcome = outcome(result, getContent(), begun.get());
+                            if (outcome instanceof HttpOutcome.Answered) {
+                                prefer(endpoint);
+                            }
+                            done.complete(outcome);
+                        }
+                    });
+        } catch (RuntimeException e) {
+            done.complete(unsent(e, begun.get()));
+        }
+        return done;
+    }
+
+    Request request(int endpoint, String path, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return mClient.POST(mEndpoints.get(endpoint).resolve(path))
+                .body(new BytesRequestContent("application/json", bytes));
+    }
+
+    void send(Request request, Response.CompleteListener listener) {
+        mPending.add(request);
+        if (mClosed) {
+            forget(request);
+            throw new IllegalStateException("the store is closed");
+        }
+        request.send(listener);
+    }
+
+    void forget(Request request) {
+        mPending.remove(request);
+    }
+
+    private static HttpOutcome outcome(Result result, byte[] content, boolean begun) {
+        if (result.isFailed()) {
+            return unsent(result.getFailure(), begun);
+        }
+        int status = result.getResponse().getStatus();
+        return status == HTTP_OK
+                ? new HttpOutcome.Answered(content)
+                : new HttpOutcome.Lost("the store answered with status " + status);
+    }
+
+    /** A request that was aborted before its first byte is never sent later by the client. */
+    private static HttpOutcome unsent(Throwable failure, boolean begun) {
+        return begun
+                ? new HttpOutcome.Lost("the answer was lost: " + describe(failure))
+                : new HttpOutcome.NotSent("no connection: " + describe(failure));
+    }
+
+    static String describe(Throwable t) {
+        return t.getMessage() == null ? t.getClass().getSimpleName() : t.getMessage();
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        mPending.forEach(r -> r.abort(new IllegalStateException("the store is closed")));
+        try {
+            mClient.stop();
+        } catch (Exception e) {
+            throw new IllegalStateException("HTTP client does not stop: " + describe(e), e);
+        }
+    }
+}
--- /dev/null
+++ b/store/src/test/java/io/azurestage/store/EtcdStoreAnswerTest.java
@@ -0,0 +1,82 @@
+package io.azurestage.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EtcdStoreAnswerTest {
+
+    private static WriteResult write(String answer) throws IOException {
+        HttpServer server =
+                HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.createContext(
+                "/v3/kv/txn",
+                exchange -> {
+                    byte[] body = answer.getBytes(StandardCharsets.UTF_8);
+                    exchange.sendResponseHeaders(200, body.length == 0 ? -1 : body.length);
+                    exchange.getResponseBody().write(body);
+                    exchange.close();
+                });
+        server.start();
+        URI uri = URI.create("http://127.0.0.1:" + server.getAddress().getPort());
+        try (PlatformStore store = EtcdStore.connect(List.of(uri), Duration.ofSeconds(20))) {
+            return store.compareAndSwap("k", 0, new byte[0], 0).join();
+        } finally {
+            server.stop(0);
+        }
+    }
+
+    // Guards against an unknown outcome that is taken for a conflict or for success.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "null",
+                "{}",
+                "[]",
+                "{\"succeeded\":true}",
+                "{\"header\":{\"revision\":\"x\"},\"succeeded\":true}",
+                "{\"header\":{\"revision\":\"7\"},\"succeeded\":\"yes\"}",
+                "{\"header\":{\"revision\":\"7\"},\"succeeded\":true",
+                "{\"header\":{\"revision\":\"7\"},\"succeeded\":true}{}",
+                "<html></html>"
+            })
+    void thatIsNotUnderstoodMayHaveBeenApplied(String answer) throws IOException {
+        assertThat(write(answer)).isInstanceOf(WriteResult.MaybeApplied.class);
+    }
+
+    @Test
+    void withoutTheSucceededFieldIsAConflict() throws IOException {
+        assertThat(write("{\"header\":{\"revision\":\"7\"}}"))
+                .isEqualTo(new WriteResult.Conflict());
+        assertThat(write("{\"header\":{\"revision\":\"7\"},\"succeeded\":true}"))
+                .isEqualTo(new WriteResult.Applied(7));
+    }
+
+    // Guards against a caller that waits for ever because the store was closed meanwhile.
+    @Test
+    void isGivenToEveryCallWhenTheStoreCloses() throws IOException {
+        try (java.net.ServerSocket silent =
+                new java.net.ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            URI uri = URI.create("http://127.0.0.1:" + silent.getLocalPort());
+            PlatformStore store = EtcdStore.connect(List.of(uri), Duration.ofHours(1));
+            CompletableFuture<WriteResult> write = store.compareAndSwap("k", 0, new byte[0], 0);
+            CompletableFuture<ReadResult> read = store.get("k", false);
+            store.close();
+            assertThat(write.join()).isNotInstanceOf(WriteResult.Applied.class);
+            assertThat(read.join()).isInstanceOf(ReadResult.Unavailable.class);
+            assertThat(store.get("k", false).join()).isInstanceOf(ReadResult.Unavailable.class);
+        }
+    }
+}
