--- a/config/src/main/java/io/azurestage/config/Azurestage.java
+++ b/config/src/main/java/io/azurestage/config/Azurestage.java
@@ -1,6 +1,6 @@
 package io.azurestage.config;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.List;
 
 /**
  * Entry point of the operators' library.
@@ -30,17 +30,25 @@
     }
 
     /**
-     * Parses a configuration.
+     * Parses a configuration. Unknown, missing and duplicate fields are refused; the values
+     * themselves are judged by {@link #check}.
      *
      * @param json JSON text as printed by {@link MeshConfig#toJson()}
      * @return the configuration
-     * @throws IllegalArgumentException if the text is not a configuration; the message says where
+     * @throws ConfigException if the text is not a configuration; the message names the JSON path,
+     *     what is expected and the remedy
      */
     public static MeshConfig parse(String json) {
-        try {
-            return ConfigJson.parse(json);
-        } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException("not a configuration: " + e.getMessage(), e);
-        }
+        return ConfigJson.parse(json);
+    }
+
+    /**
+     * Validates a configuration.
+     *
+     * @param config any configuration
+     * @return all problems in the order of the document, empty if the configuration can be pushed
+     */
+    public static List<ConfigProblem> check(MeshConfig config) {
+        return new ConfigCheck().check(config);
     }
 }
--- a/config/src/main/java/io/azurestage/config/ConfigBuilder.java
+++ b/config/src/main/java/io/azurestage/config/ConfigBuilder.java
@@ -6,7 +6,7 @@
 
 /** Builds a {@link MeshConfig} step by step. */
 public final class ConfigBuilder {
-    private static final int DEFAULT_RETRY_ALLOWANCE = 3;
+    static final int DEFAULT_RETRY_ALLOWANCE = 3;
 
     private final SortedMap<String, Partner> mPartners = new TreeMap<>();
     private final SortedMap<String, ServiceSpec> mServices = new TreeMap<>();
--- a/config/src/main/java/io/azurestage/config/ConfigJson.java
+++ b/config/src/main/java/io/azurestage/config/ConfigJson.java
@@ -1,9 +1,16 @@
 package io.azurestage.config;
 
+import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.util.DefaultIndenter;
+import com.fasterxml.jackson.core.util.DefaultPrettyPrinter;
 import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectWriter;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Locale;
 import java.util.SortedMap;
@@ -11,97 +18,124 @@
 
 /** Converts configurations to and from canonical JSON. */
 final class ConfigJson {
-    private static final ObjectMapper MAPPER =
-            new ObjectMapper()
-                    .enable(SerializationFeature.INDENT_OUTPUT)
-                    .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    private static final JsonMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+
+    // A fixed line separator keeps the text the same on every platform.
+    private static final ObjectWriter WRITER =
+            MAPPER.writer(
+                    new DefaultPrettyPrinter().withObjectIndenter(new DefaultIndenter("  ", "\n")));
 
     private ConfigJson() {}
 
     static String print(MeshConfig c) {
+        return print(tree(c));
+    }
+
+    static String print(JsonNode tree) {
         try {
-            return MAPPER.writeValueAsString(document(c)) + "\n";
+            return WRITER.writeValueAsString(tree) + "\n";
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("configuration does not print as JSON", e);
         }
     }
 
-    static MeshConfig parse(String json) throws JsonProcessingException {
-        Document d = MAPPER.readValue(json, Document.class);
+    static MeshConfig parse(String json) {
+        return config(read(json));
+    }
+
+    static JsonValue read(String json) {
+        try {
+            return new JsonValue("$", MAPPER.readTree(json));
+        } catch (JsonProcessingException e) {
+            JsonLocation at = e.getLocation();
+            String place =
+                    at == null ? "" : " at line " + at.getLineNr() + ", column " + at.getColumnNr();
+            throw new ConfigException(
+                    "$",
+                    "expected JSON, found" + place + ": " + e.getOriginalMessage(),
+                    "correct the text there");
+        }
+    }
+
+    static MeshConfig config(JsonValue value) {
+        JsonValue root = value.object("partners", "services", "retryAllowance");
         SortedMap<String, Partner> partners = new TreeMap<>();
-        d.partners()
-                .forEach(
-                        (name, p) ->
-                                partners.put(
-                                        name,
-                                        new Partner(
-                                                name,
-                                                p.share(),
-                                                p.floor(),
-                                                p.priority(),
-                                                p.credentialSha256())));
+        root.field("partners").entries().forEach((n, v) -> partners.put(n, partner(n, v)));
         SortedMap<String, ServiceSpec> services = new TreeMap<>();
-        d.services().forEach((name, s) -> services.put(name, service(name, s)));
-        return new MeshConfig(partners, services, d.retryAllowance());
+        root.field("services").entries().forEach((n, v) -> services.put(n, service(n, v)));
+        int retries = root.integer("retryAllowance", ConfigBuilder.DEFAULT_RETRY_ALLOWANCE);
+        return new MeshConfig(partners, services, retries);
     }
 
-    private static ServiceSpec service(String name, ServiceDocument s) {
-        List<Operation> operations =
-                s.operations().stream()
-                        .map(
-                                o ->
-                                        new Operation(
-                                                o.method(),
-                                                o.pathPrefix(),
-                                                WorkClass.valueOf(
-                                                        o.workClass().toUpperCase(Locale.ROOT)),
-                                                o.idempotent()))
-                        .toList();
-        return new ServiceSpec(name, operations);
+    private static Partner partner(String name, JsonValue value) {
+        JsonValue v = value.object("share", "floor", "priority", "credentialSha256");
+        return new Partner(
+                name,
+                v.field("share").integer(),
+                v.integer("floor", PartnerBuilder.DEFAULT_FLOOR),
+                v.integer("priority", 0),
+                v.field("credentialSha256").text());
     }
 
-    private static Document document(MeshConfig c) {
-        SortedMap<String, PartnerDocument> partners = new TreeMap<>();
-        c.partners()
-                .forEach(
-                        (name, p) ->
-                                partners.put(
-                                        name,
-                                        new PartnerDocument(
-                                                p.share(),
-                                                p.floor(),
-                                                p.priority(),
-                                                p.credentialSha256())));
-        SortedMap<String, ServiceDocument> services = new TreeMap<>();
-        c.services()
-                .forEach(
-                        (name, s) ->
-                                services.put(
-                                        name,
-                                        new ServiceDocument(
-                                                s.operations().stream()
-                                                        .map(ConfigJson::operation)
-                                                        .toList())));
-        return new Document(partners, services, c.retryAllowance());
+    private static ServiceSpec service(String name, JsonValue value) {
+        List<JsonValue> all = value.object("operations").field("operations").elements();
+        return new ServiceSpec(name, all.stream().map(ConfigJson::operation).toList());
     }
 
-    private static OperationDocument operation(Operation o) {
-        return new OperationDocument(
-                o.method(),
-                o.pathPrefix(),
-                o.workClass().name().toLowerCase(Locale.ROOT),
-                o.idempotent());
+    private static Operation operation(JsonValue value) {
+        JsonValue v = value.object("method", "pathPrefix", "workClass", "idempotent");
+        return new Operation(
+                v.field("method").text(),
+                v.field("pathPrefix").text(),
+                workClass(v.field("workClass")),
+                v.field("idempotent").flag());
     }
 
-    private record Document(
-            SortedMap<String, PartnerDocument> partners,
-            SortedMap<String, ServiceDocument> services,
-            int retryAllowance) {}
+    private static WorkClass workClass(JsonValue value) {
+        for (WorkClass c : WorkClass.values()) {
+            if (name(c).equals(value.text())) {
+                return c;
+            }
+        }
+        throw new ConfigException(
+                value.path(),
+                "expected a class of work, found '" + value.text() + "'",
+                "use critical, normal or browsing");
+    }
 
-    private record PartnerDocument(int share, int floor, int priority, String credentialSha256) {}
+    static String name(WorkClass c) {
+        return c.name().toLowerCase(Locale.ROOT);
+    }
 
-    private record ServiceDocument(List<OperationDocument> operations) {}
+    static ObjectNode tree(MeshConfig c) {
+        ObjectNode root = MAPPER.createObjectNode();
+        ObjectNode partners = root.putObject("partners");
+        c.partners()
+                .forEach(
+                        (name, p) ->
+                                partners.putObject(name)
+                                        .put("share", p.share())
+                                        .put("floor", p.floor())
+                                        .put("priority", p.priority())
+                                        .put("credentialSha256", p.credentialSha256()));
+        ObjectNode services = root.putObject("services");
+        c.services().forEach((name, s) -> service(services.putObject(name), s));
+        return root.put("retryAllowance", c.retryAllowance());
+    }
 
-    private record OperationDocument(
-            String method, String pathPrefix, String workClass, boolean idempotent) {}
+    private static void service(ObjectNode node, ServiceSpec s) {
+        ArrayNode operations = node.putArray("operations");
+        for (Operation o : s.operations()) {
+            operations
+                    .addObject()
+                    .put("method", o.method())
+                    .put("pathPrefix", o.pathPrefix())
+                    .put("workClass", name(o.workClass()))
+                    .put("idempotent", o.idempotent());
+        }
+    }
 }
--- a/config/src/main/java/io/azurestage/config/PartnerBuilder.java
+++ b/config/src/main/java/io/azurestage/config/PartnerBuilder.java
@@ -7,9 +7,11 @@
 
 /** Builds a {@link Partner}. */
 public final class PartnerBuilder {
+    static final int DEFAULT_FLOOR = 1;
+
     private final String mName;
     private int mShare;
-    private int mFloor = 1;
+    private int mFloor = DEFAULT_FLOOR;
     private int mPriority;
     private String mCredentialSha256 = "";
 
