Lower the largest value to 1 MB in decimal

Cause: the platform states 1 MB, which may mean 1,000,000 bytes. Change: EtcdStore refuses values over 1,000,000 bytes instead of 1,048,576. Conclusion: a value that the adapter takes fits under either reading.

--- a/store/src/main/java/io/azurestage/store/EtcdStore.java
+++ b/store/src/main/java/io/azurestage/store/EtcdStore.java
@@ -29,7 +29,7 @@
  */
 public final class EtcdStore implements PlatformStore {
     /** Largest value that the service holds, in bytes. */
-    public static final int MAX_VALUE_BYTES = 1 << 20;
+    public static final int MAX_VALUE_BYTES = 1_000_000;
 
     private static final Duration MIN_LEASE = Duration.ofSeconds(1);
 
