core: add adaptive admission, shares, fractions and chain levels

Cause: the admission package had only a placeholder with a fixed limit and a FIFO queue. Change: a gradient limit with a reaction to refusals, a queue ordered by class, partner fairness and rank with a CoDel-style bound, lending with a loan report, fractions per partner and class, and a bounded table of chain levels.

--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -1,33 +1,87 @@
 package io.azurestage.core.admission;
 
 import io.azurestage.config.MeshConfig;
+import io.azurestage.config.WorkClass;
 import io.azurestage.core.time.TimeSource;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Decides which requests a backend server runs. Not thread-safe: one duty owns it. {@link
- * #fractions()} alone may be called from any thread.
+ * #fractions()} and {@link #loans()} alone may be called from any thread.
+ *
+ * <p>Example:
+ *
+ * <pre>{@code
+ * AdmissionController admission = new AdmissionController(130, TimeSource.system());
+ * admission.configure(config);
+ * admission.offer(work); // the listener of the work hears run() or refuse()
+ * admission.complete(work, new Completion(totalNanos, ownNanos, Completion.Outcome.ANSWERED));
+ * admission.tick(); // every 10 ms
+ * }</pre>
  */
 public final class AdmissionController {
-    private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+    private static final long WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-    private final int mSlots;
     private final TimeSource mTime;
-    private final Deque<Work> mQueue = new ArrayDeque<>();
-    private int mInFlight;
+    private final Tuning mTuning;
+    private final PartnerTable mPartners = new PartnerTable();
+    private final DemandEstimate mDemand = new DemandEstimate();
+    private final FractionPlan mPlan = new FractionPlan(mPartners);
+    private final Map<Work, Waiting> mQueued = new HashMap<>();
+    private final Map<Work, Waiting> mRunning = new HashMap<>();
+    private final ConcurrencyLimit mLimit;
+    private final ServiceTimes mTimes;
+    private final WorkQueue mQueue;
+    private final WaitBound mWaitBound;
+    private final LoanBook mLoanBook;
+    private final int mSlots;
+    private long mSequence;
+    private long mWindowStart;
+    private volatile Map<PartnerClass, Double> mFractions = Map.of();
+    private volatile List<Loan> mLoans = List.of();
 
     /**
-     * Creates a controller.
+     * Creates a controller that reports no loans.
      *
      * @param slots requests that the server can run at once, from the settings
      * @param time source of time
+     * @throws IllegalArgumentException if there is no slot
      */
     public AdmissionController(int slots, TimeSource time) {
+        this(slots, time, (lender, borrower, workClass, lent) -> {});
+    }
+
+    /**
+     * Creates a controller.
+     *
+     * @param slots requests that the server can run at once, from the settings
+     * @param time source of time
+     * @param loans hears when a loan starts, changes or ends
+     * @throws IllegalArgumentException if there is no slot
+     */
+    public AdmissionController(int slots, TimeSource time, LoanListener loans) {
+        this(slots, time, loans, Tuning.DEFAULT);
+    }
+
+    AdmissionController(int slots, TimeSource time, LoanListener loans, Tuning tuning) {
+        if (slots < 1) {
+            throw new IllegalArgumentException("slots is " + slots + "; set it to at least 1");
+        }
         mSlots = slots;
-        mTime = time;
+        mTime = Objects.requireNonNull(time, "time");
+        mTuning = tuning;
+        long now = time.nanos();
+        mLimit = new ConcurrencyLimit(slots, now);
+        mTimes = new ServiceTimes(now);
+        mQueue = new WorkQueue(tuning.order());
+        mWaitBound = new WaitBound(tuning, slots, now);
+        mLoanBook = new LoanBook(mPartners, Objects.requireNonNull(loans, "loans"));
+        mWindowStart = now;
     }
 
     /**
@@ -35,7 +89,9 @@
      *
      * @param config shares and floors of the partners
      */
-    public void configure(MeshConfig config) {}
+    public void configure(MeshConfig config) {
+        mPartners.configure(config, mTime.nanos());
+    }
 
     /**
      * Asks for admission. The work's listener hears the decision, now or later.
@@ -43,14 +99,23 @@
      * @param w the request
      */
     public void offer(Work w) {
-        if (mInFlight < mSlots) {
-            mInFlight++;
-            w.listener().run();
-        } else if (mQueue.size() < mSlots) {
-            mQueue.add(w);
-        } else {
-            w.listener().refuse(RefusalReason.OVERLOADED, RETRY_AFTER);
+        long now = mTime.nanos();
+        PartnerState p = mPartners.of(w.partner(), now);
+        p.arrived(w.workClass().ordinal(), now);
+        mDemand.arrived(new PartnerClass(w.partner(), w.workClass()), w.entryFraction());
+        if (mRunning.isEmpty()) {
+            mTimes.busy(now);
         }
+        Waiting waiting = new Waiting(w, p, now, mSequence++);
+        if (isLate(waiting, expectedWait(waiting, now), now)) {
+            refuse(waiting, RefusalReason.DEADLINE_EXCEEDED, now);
+            return;
+        }
+        mWaitBound.observe(mQueue, now);
+        mQueued.put(w, waiting);
+        mQueue.add(waiting);
+        dispatch(now);
+        trim(now);
     }
 
     /**
@@ -58,13 +123,21 @@
      *
      * @param w the request
      * @param c how it ended
+     * @throws IllegalArgumentException if the request is not running; complete each request once,
+     *     and only after its listener heard {@link WorkListener#run()}
      */
     public void complete(Work w, Completion c) {
-        mInFlight--;
-        Work next = mQueue.poll();
-        if (next != null) {
-            offer(next);
+        Waiting running = mRunning.remove(w);
+        if (running == null) {
+            throw new IllegalArgumentException("the request is not running; complete it only once");
+        }
+        long now = mTime.nanos();
+        running.partner().usage(running.classIndex()).end(now);
+        if (c.outcome() != Completion.Outcome.SERVER_REFUSED) {
+            mTimes.add(running.classIndex(), c.totalNanos(), now);
         }
+        mLimit.completed(c, mRunning.size());
+        dispatch(now);
     }
 
     /**
@@ -74,14 +147,28 @@
      * @return true if it was queued, false if it runs already or was refused
      */
     public boolean cancel(Work w) {
-        return mQueue.remove(w);
+        Waiting waiting = mQueued.remove(w);
+        if (waiting == null) {
+            return false;
+        }
+        mQueue.remove(waiting);
+        // The withdrawn request may have kept less important work from starting.
+        dispatch(mTime.nanos());
+        return true;
     }
 
     /** Refuses queued work that waited too long and updates limits and levels. Call every 10 ms. */
     public void tick() {
-        while (!mQueue.isEmpty() && mQueue.peek().deadlineNanos() - mTime.nanos() < 0) {
-            mQueue.poll().listener().refuse(RefusalReason.DEADLINE_EXCEEDED, Duration.ZERO);
+        long now = mTime.nanos();
+        if (now - mWindowStart >= WINDOW_NANOS) {
+            roll(now);
         }
+        for (Waiting w : mQueue.select(w -> isLate(w, 0, now))) {
+            drop(w, RefusalReason.DEADLINE_EXCEEDED, now);
+        }
+        dispatch(now);
+        shedOverdue(now);
+        trim(now);
     }
 
     /**
@@ -90,7 +177,16 @@
      * @return an immutable snapshot
      */
     public Map<PartnerClass, Double> fractions() {
-        return Map.of();
+        return mFractions;
+    }
+
+    /**
+     * Returns the loans in force.
+     *
+     * @return an immutable snapshot
+     */
+    public List<Loan> loans() {
+        return mLoans;
     }
 
     /**
@@ -99,6 +195,164 @@
      * @return 0 when idle, 1 when all slots are busy, more with a queue
      */
     public double load() {
-        return (mInFlight + mQueue.size()) / (double) mSlots;
+        return (mRunning.size() + mQueue.size()) / (double) limit();
+    }
+
+    /**
+     * Returns the concurrency limit in force.
+     *
+     * @return at least 1, at most the slots
+     */
+    public int limit() {
+        return mTuning.adaptiveLimit() ? mLimit.limit() : mSlots;
+    }
+
+    /**
+     * Returns the requests in progress.
+     *
+     * @return number of held slots
+     */
+    public int inFlight() {
+        return mRunning.size();
+    }
+
+    /**
+     * Returns the requests that wait.
+     *
+     * @return length of the queue
+     */
+    public int queued() {
+        return mQueue.size();
+    }
+
+    private void dispatch(long now) {
+        Waiting next = next(now);
+        while (next != null) {
+            if (isLate(next, 0, now)) {
+                drop(next, RefusalReason.DEADLINE_EXCEEDED, now);
+            } else {
+                start(next, now);
+            }
+            next = next(now);
+        }
+        mWaitBound.observe(mQueue, now);
+    }
+
+    private Waiting next(long now) {
+        int limit = limit();
+        int free = limit - mRunning.size();
+        if (free <= 0) {
+            return null;
+        }
+        return mQueue.next((p, c) -> mPartners.mayStart(p, c, free, limit, now), now);
+    }
+
+    private void start(Waiting w, long now) {
+        mQueue.remove(w);
+        mQueued.remove(w.work());
+        mRunning.put(w.work(), w);
+        w.partner().usage(w.classIndex()).start(now);
+        w.work().listener().run();
+    }
+
+    private void shedOverdue(long now) {
+        double mean = meanNanos(now);
+        int overdue =
+                mQueue.select(
+                                w -> {
+                                    double allowed =
+                                            mWaitBound.allowedNanos(w.classIndex(), mean, now);
+                                    return now - w.arrivedNanos() > allowed;
+                                })
+                        .size();
+        for (int i = 0; i < overdue; i++) {
+            shedOne(now);
+        }
+    }
+
+    private void trim(long now) {
+        double mean = meanNanos(now);
+        while (mQueue.size() > 0) {
+            Waiting worst = leastEntitled(now);
+            int most = mWaitBound.maxLength(worst.classIndex(), limit(), mean, now);
+            if (mQueue.size() <= most) {
+                return;
+            }
+            drop(worst, shedReason(worst, now), now);
+        }
+    }
+
+    private void shedOne(long now) {
+        Waiting worst = leastEntitled(now);
+        if (worst != null) {
+            drop(worst, shedReason(worst, now), now);
+        }
+    }
+
+    private Waiting leastEntitled(long now) {
+        return mQueue.leastEntitled(this::fraction, now);
+    }
+
+    private double fraction(PartnerState p, int classIndex) {
+        WorkClass c = WorkClass.values()[classIndex];
+        return mFractions.getOrDefault(new PartnerClass(p.name(), c), 1.0);
+    }
+
+    private RefusalReason shedReason(Waiting w, long now) {
+        double used = w.partner().usage(w.classIndex()).average(now);
+        boolean alone = mPartners.all().size() < 2;
+        return !alone && used >= mPartners.part(w.partner(), limit())
+                ? RefusalReason.SHARE_EXHAUSTED
+                : RefusalReason.OVERLOADED;
+    }
+
+    private void drop(Waiting w, RefusalReason reason, long now) {
+        mQueue.remove(w);
+        mQueued.remove(w.work());
+        refuse(w, reason, now);
+    }
+
+    private void refuse(Waiting w, RefusalReason reason, long now) {
+        double drain = mQueue.size() * meanNanos(now) / limit();
+        double fraction = fraction(w.partner(), w.classIndex());
+        Duration retryAfter = RetryAfter.estimate(drain, fraction, w.work().rank());
+        w.work().listener().refuse(reason, retryAfter);
+    }
+
+    private double expectedWait(Waiting w, long now) {
+        int limit = limit();
+        double ahead = mQueue.ahead(w.partner(), w.classIndex()) + 1 + mRunning.size() - limit;
+        return Math.max(0, ahead) * meanNanos(now) / limit;
+    }
+
+    private boolean isLate(Waiting w, double waitNanos, long now) {
+        double needed = mTimes.forDeadline(w.classIndex(), !mRunning.isEmpty(), now) + waitNanos;
+        long left = w.work().deadlineNanos() - now;
+        return left <= 0 || left < needed;
+    }
+
+    private double meanNanos(long now) {
+        return mTimes.mean(!mRunning.isEmpty(), now);
+    }
+
+    private void roll(long now) {
+        double seconds = (now - mWindowStart) / 1e9;
+        mWindowStart = now;
+        mTimes.roll();
+        mLimit.roll(now);
+        mDemand.roll(seconds);
+        mPartners.dropIdle(now);
+        mFractions = mPlan.compute(limit(), limit() * mTuning.headroom(), this::demandSlots, now);
+        mLoans = mLoanBook.update(limit(), now);
+    }
+
+    private double demandSlots(PartnerClass key) {
+        DemandWindow window = mDemand.windows().get(key);
+        if (window == null) {
+            return 0;
+        }
+        boolean busy = !mRunning.isEmpty();
+        double mean = mTimes.mean(key.workClass().ordinal(), busy, mTime.nanos());
+        return window.rate() * mean / TimeUnit.SECONDS.toNanos(1);
     }
 }
--- /dev/null
+++ b/core/src/main/java/io/azurestage/core/admission/ConcurrencyLimit.java
@@ -0,0 +1,167 @@
+package io.azurestage.core.admission;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Concurrency limit of one server. It follows the gradient between the server's usual own latency
+ * and its present one, and the server's refusals.
+ */
+final class ConcurrencyLimit {
+    private static final double TOLERANCE = 2;
+    private static final double GROWTH_TOLERANCE = 1.2;
+    private static final double MIN_GRADIENT = 0.5;
+    private static final double MIN_PART = 0.1;
+    private static final double CUT_ERRORS = 2;
+    private static final double BASELINE_ERRORS = 3;
+    private static final double BASELINE_RISE = 0.01;
+    private static final double BASELINE_FALL = 0.1;
+    private static final double NO_EFFECT = 0.8;
+    private static final int MIN_SAMPLES = 50;
+    private static final int MIN_BASELINE_SAMPLES = 10;
+    private static final long MAX_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long MAX_SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private final int mSlots;
+    private final RunningMean mWindow = new RunningMean();
+    private double mLimit;
+    private double mStep = 1;
+    private double mBaseline;
+    private double mWindowLimit;
+    private boolean mRefused;
+    private long mWindowStart;
+    private long mSettled;
+    private double mLimitBeforeCut;
+    private double mLatencyBeforeCut;
+
+    ConcurrencyLimit(int slots, long nowNanos) {
+        mSlots = slots;
+        mLimit = slots;
+        mWindowLimit = slots;
+        mWindowStart = nowNanos;
+        mSettled = nowNanos;
+    }
+
+    int limit() {
+        return (int) mLimit;
+    }
+
+    /**
+     * Takes note of the end of a request.
+     *
+     * @param c how it ended
+     * @param othersInFlight requests that the server runs besides this one
+     */
+    void completed(Completion c, int othersInFlight) {
+        switch (c.outcome()) {
+            case ANSWERED -> mWindow.add(Math.max(1, c.ownNanos()));
+            case SERVER_REFUSED -> refused(othersInFlight);
+            // A failure is often faster than an answer, and a cancelled request says nothing.
+            default -> {}
+        }
+    }
+
+    /** Adapts the limit to the last window. Call every 100 ms. */
+    void roll(long nowNanos) {
+        mWindowLimit = mLimit;
+        if (mRefused) {
+            mRefused = false;
+            restart(nowNanos);
+            return;
+        }
+        if (nowNanos - mSettled < 0) {
+            restart(nowNanos);
+            return;
+        }
+        if (mWindow.count() < MIN_SAMPLES && nowNanos - mWindowStart < MAX_WINDOW_NANOS) {
+            return;
+        }
+        if (mWindow.count() == 0) {
+            grow();
+        } else {
+            follow(nowNanos);
+        }
+        restart(nowNanos);
+    }
+
+    /**
+     * A server that refuses can run what it runs now and no more. One window at most halves the
+     * limit, so that a single refusal under light load costs little.
+     */
+    private void refused(int othersInFlight) {
+        double proven = Math.max(othersInFlight, mWindowLimit * MIN_GRADIENT);
+        mLimit = Math.max(minLimit(), Math.min(mLimit, proven));
+        mStep = 1;
+        mRefused = true;
+    }
+
+    private void follow(long nowNanos) {
+        double latency = mWindow.mean();
+        double low = latency - CUT_ERRORS * mWindow.standardError();
+        if (mBaseline == 0 || low <= TOLERANCE * mBaseline) {
+            mLimitBeforeCut = 0;
+            learnBaseline();
+            if (latency <= GROWTH_TOLERANCE * mBaseline) {
+                grow();
+            }
+            return;
+        }
+        if (cutHadNoEffect(latency)) {
+            mBaseline = latency;
+            mLimitBeforeCut = 0;
+            grow();
+            return;
+        }
+        cut(TOLERANCE * mBaseline / low, latency, nowNanos);
+    }
+
+    /**
+     * A server that is as slow at half the limit is not slow because of its load; a lower limit
+     * would only lower its throughput.
+     */
+    private boolean cutHadNoEffect(double latency) {
+        return mLimitBeforeCut > 0
+                && mLimit <= Math.max(minLimit(), MIN_GRADIENT * mLimitBeforeCut)
+                && latency >= NO_EFFECT * mLatencyBeforeCut;
+    }
+
+    private void cut(double gradient, double latency, long nowNanos) {
+        if (mLimitBeforeCut == 0) {
+            mLimitBeforeCut = mLimit;
+            mLatencyBeforeCut = latency;
+        }
+        mLimit = Math.max(minLimit(), mLimit * Math.max(MIN_GRADIENT, gradient));
+        mStep = Math.max(1, mLimit / 2);
+        // Requests that started under the old limit still end during this time.
+        mSettled = nowNanos + Math.min(MAX_SETTLE_NANOS, (long) latency);
+    }
+
+    private void grow() {
+        mLimit = Math.min(mSlots, mLimit + mStep);
+        mStep = Math.min(mSlots, mStep * 2);
+    }
+
+    private void learnBaseline() {
+        if (mWindow.count() < MIN_BASELINE_SAMPLES) {
+            return;
+        }
+        double latency = mWindow.mean();
+        boolean lower = latency + BASELINE_ERRORS * mWindow.standardError() < mBaseline;
+        if (mBaseline == 0 || lower) {
+            mBaseline = latency;
+            return;
+        }
+        if (latency <= GROWTH_TOLERANCE * mBaseline) {
+            double rate = latency < mBaseline ? BASELINE_FALL : BASELINE_RISE;
+            mBaseline += rate * (latency - mBaseline);
+        }
+    }
+
+    private void restart(long nowNanos) {
+        mWindow.clear();
+        mWindowStart = nowNanos;
+    }
+
+    private double minLimit() {
+        return Math.max(1, Math.ceil(mSlots * MIN_PART));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/azurestage/core/admission/QueueOrder.java
@@ -0,0 +1,23 @@
+package io.azurestage.core.admission;
+
+import java.util.Comparator;
+
+/** Order in which the waiting work of one partner and class is served. */
+enum QueueOrder {
+    /** Lowest rank first, so that the same requests are admitted at every depth. */
+    RANK(Comparator.comparingDouble((Waiting w) -> w.work().rank())),
+    /** Oldest first. */
+    FIFO(Comparator.comparingLong(Waiting::sequence)),
+    /** Newest first. */
+    LIFO(Comparator.comparingLong(Waiting::sequence).reversed());
+
+    private final Comparator<Waiting> mComparator;
+
+    QueueOrder(Comparator<Waiting> comparator) {
+        mComparator = comparator.thenComparingLong(Waiting::sequence);
+    }
+
+    Comparator<Waiting> comparator() {
+        return mComparator;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/azurestage/core/admission/ServiceTimes.java
@@ -0,0 +1,97 @@
+package io.azurestage.core.admission;
+
+import java.util.concurrent.TimeUnit;
+
+/** Time that work holds its slot, by class. */
+final class ServiceTimes {
+    private static final double MIN_SAMPLES = 100;
+    private static final double KEEP_PER_WINDOW = 0.5;
+    private static final double SHIFT_ERRORS = 4;
+    private static final double DEADLINE_DEVIATIONS = 2;
+    private static final long STALE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long MIN_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    private static final int STALL_MEANS = 3;
+
+    private final RunningMean[] mPast = new RunningMean[PartnerState.CLASSES];
+    private final RunningMean[] mWindow = new RunningMean[PartnerState.CLASSES];
+    private final RunningMean mAll = new RunningMean();
+    private long mLastNanos;
+
+    ServiceTimes(long nowNanos) {
+        mLastNanos = nowNanos;
+        for (int c = 0; c < mPast.length; c++) {
+            mPast[c] = new RunningMean();
+            mWindow[c] = new RunningMean();
+        }
+    }
+
+    void add(int workClass, long heldNanos, long nowNanos) {
+        mWindow[workClass].add(Math.max(1, heldNanos));
+        mLastNanos = nowNanos;
+    }
+
+    /** Restarts the stall detection when the server turns from idle to busy. */
+    void busy(long nowNanos) {
+        mLastNanos = nowNanos;
+    }
+
+    /** Merges the samples of the last window into the estimate. */
+    void roll() {
+        mAll.clear();
+        for (int c = 0; c < mPast.length; c++) {
+            merge(mPast[c], mWindow[c]);
+            mWindow[c].clear();
+            mAll.merge(mPast[c]);
+        }
+    }
+
+    /** Returns the mean over all classes in nanoseconds, 0 when unknown. */
+    double mean(boolean busy, long nowNanos) {
+        return stalled(mAll.mean(), busy, nowNanos);
+    }
+
+    /** Returns the mean of a class in nanoseconds, that of all classes when it has no samples. */
+    double mean(int workClass, boolean busy, long nowNanos) {
+        RunningMean past = mPast[workClass];
+        return stalled(past.count() >= 1 ? past.mean() : mAll.mean(), busy, nowNanos);
+    }
+
+    /**
+     * Returns the time to allow for work that has to meet its deadline.
+     *
+     * @return nanoseconds, 0 when nothing is known or the estimate is stale. An estimate that
+     *     refuses all work would otherwise never be corrected.
+     */
+    double forDeadline(int workClass, boolean busy, long nowNanos) {
+        if (!busy && nowNanos - mLastNanos > STALE_NANOS) {
+            return 0;
+        }
+        RunningMean past = mPast[workClass].count() >= 1 ? mPast[workClass] : mAll;
+        return stalled(past.mean(), busy, nowNanos) + DEADLINE_DEVIATIONS * past.deviation();
+    }
+
+    /** Completions stop when a server hangs, so the mean of completed work alone would be stale. */
+    private double stalled(double mean, boolean busy, long nowNanos) {
+        long silent = nowNanos - mLastNanos;
+        boolean hangs = busy && silent > Math.max(MIN_STALL_NANOS, STALL_MEANS * mean);
+        return hangs && mean > 0 ? Math.max(mean, silent) : mean;
+    }
+
+    private static void merge(RunningMean past, RunningMean window) {
+        if (window.count() == 0) {
+            return;
+        }
+        double shift = Math.abs(window.mean() - past.mean());
+        if (past.count() > 0 && shift > SHIFT_ERRORS * error(past, window)) {
+            past.clear();
+        }
+        double needed = Math.max(0, MIN_SAMPLES - window.count());
+        double keep = past.count() == 0 ? 1 : Math.min(1, needed / past.count());
+        past.scale(Math.max(KEEP_PER_WINDOW, keep));
+        past.merge(window);
+    }
+
+    private static double error(RunningMean a, RunningMean b) {
+        return Math.hypot(a.standardError(), b.standardError());
+    }
+}
