Add the callers' library

Cause: callers need tickets for non-idempotent calls, bounded repeats of lost responses, and certainty that a response is whole.

Change: AzurestageClient with a fluent call builder and the sealed results Whole, Refused and Failed. A lost response is repeated with the same ticket through another entry; a refusal that was not run is repeated only if the client is built to do so, with a new ticket and not before retry-after. A response without an announced end counts as lost.

Conclusion: a chunked response that ends after its last chunk but before the empty trailer counts as whole (RFC 9112, section 8); one that ends inside the last chunk does not. Prefetching of tickets is not done.

--- /dev/null
+++ b/client/src/main/java/io/azurestage/client/CallRunner.java
@@ -0,0 +1,196 @@
+package io.azurestage.client;
+
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/** Runs one call: fetches a ticket if needed, sends attempts, and decides about repeats. */
+final class CallRunner {
+    private static final String TICKET_HEADER = "Idempotency-Key";
+    private static final String DEADLINE_HEADER = "Azurestage-Deadline-Ms";
+
+    private final CallSpec mSpec;
+    private final Services mServices;
+    private final CompletableFuture<CallResult> mResult = new CompletableFuture<>();
+    private final Set<URI> mTried = new HashSet<>();
+    private final long mDeadlineNanos;
+    private String mTicket;
+    private int mAttempts;
+    private int mRefusals;
+
+    /** What a call needs from its client. */
+    record Services(
+            Transport transport,
+            Entries entries,
+            Delayer delayer,
+            Limits limits,
+            LongSupplier nanos,
+            RandomGenerator random,
+            Map<String, String> partnerHeaders) {}
+
+    CallRunner(CallSpec spec, Services services) {
+        mSpec = spec;
+        mServices = services;
+        mTicket = spec.ticket();
+        mDeadlineNanos = services.nanos().getAsLong() + spec.deadline().toNanos();
+    }
+
+    CompletableFuture<CallResult> run() {
+        next();
+        return mResult;
+    }
+
+    private void next() {
+        if (mResult.isDone()) {
+            return;
+        }
+        if (remaining().isNegative() || remaining().isZero()) {
+            fail("the deadline of " + mSpec.deadline().toMillis() + " ms has passed");
+            return;
+        }
+        mAttempts++;
+        URI entry = mServices.entries().pick(mTried);
+        mTried.add(entry);
+        if (mSpec.needsTicket() && mTicket.isEmpty()) {
+            fetchTicket(entry);
+        } else {
+            send(entry);
+        }
+    }
+
+    private void fetchTicket(URI entry) {
+        Outgoing request =
+                new Outgoing(
+                        "POST",
+                        "/azurestage/v1/tickets?service="
+                                + URLEncoder.encode(mSpec.service(), StandardCharsets.UTF_8),
+                        mServices.partnerHeaders(),
+                        new byte[0],
+                        null);
+        mServices
+                .transport()
+                .send(entry, request, attemptTimeout())
+                .thenAccept(answer -> ticketAnswered(entry, answer));
+    }
+
+    private void ticketAnswered(URI entry, Answer answer) {
+        if (answer instanceof Answer.Complete complete) {
+            mServices.entries().worked(entry);
+            var ticket = Refusals.ticket(complete);
+            if (ticket.isPresent()) {
+                mTicket = ticket.get();
+                send(entry);
+                return;
+            }
+            var refused = Refusals.read(complete);
+            if (refused.isPresent()) {
+                refused(refused.get());
+                return;
+            }
+        } else {
+            mServices.entries().failed(entry);
+        }
+        if (canRepeat()) {
+            next();
+            return;
+        }
+        String remedy = "check that the entry nodes are reachable and make the call again";
+        // Nothing was sent but requests for a ticket, so the call itself cannot have run.
+        mResult.complete(
+                new CallResult.Refused("no-entry", Ran.NOT_RUN, Duration.ZERO, remedy, ""));
+    }
+
+    private void send(URI entry) {
+        Duration remaining = remaining();
+        if (remaining.toMillis() <= 0) {
+            fail("the deadline of " + mSpec.deadline().toMillis() + " ms has passed");
+            return;
+        }
+        Map<String, String> headers = new HashMap<>(mSpec.headers());
+        headers.putAll(mServices.partnerHeaders());
+        headers.put("Azurestage-Service", mSpec.service());
+        headers.put(DEADLINE_HEADER, Long.toString(remaining.toMillis()));
+        if (!mTicket.isEmpty()) {
+            headers.put(TICKET_HEADER, mTicket);
+        }
+        Outgoing request =
+                new Outgoing(mSpec.method(), mSpec.path(), headers, mSpec.body(), mSpec.sink());
+        mServices
+                .transport()
+                .send(entry, request, attemptTimeout())
+                .thenAccept(answer -> answered(entry, answer));
+    }
+
+    private void answered(URI entry, Answer answer) {
+        if (answer instanceof Answer.Lost lost) {
+            mServices.entries().failed(entry);
+            if (lost.repeatable() && canRepeat()) {
+                next();
+                return;
+            }
+            fail(lost.reason() + " (attempt " + mAttempts + " at " + entry + ")");
+            return;
+        }
+        Answer.Complete complete = (Answer.Complete) answer;
+        mServices.entries().worked(entry);
+        Refusals.read(complete)
+                .ifPresentOrElse(
+                        this::refused,
+                        () ->
+                                mResult.complete(
+                                        new CallResult.Whole(
+                                                complete.status(),
+                                                complete.headers(),
+                                                complete.body(),
+                                                complete.streamedBytes())));
+    }
+
+    private void refused(CallResult.Refused refusal) {
+        Duration wait = refusal.retryAfter().plus(jitter(refusal.retryAfter()));
+        boolean again =
+                refusal.ran() == Ran.NOT_RUN
+                        && mSpec.ticket().isEmpty()
+                        && mRefusals < mServices.limits().refusalRetries()
+                        && mAttempts < mServices.limits().maxAttempts()
+                        && wait.compareTo(remaining()) < 0;
+        if (!again) {
+            mResult.complete(refusal);
+            return;
+        }
+        mRefusals++;
+        // The owner has sealed a ticket that was refused, so a repeat needs a new one.
+        mTicket = "";
+        mServices.delayer().after(wait, this::next);
+    }
+
+    private boolean canRepeat() {
+        return mAttempts < mServices.limits().maxAttempts() && remaining().toMillis() > 0;
+    }
+
+    /** Half of the remaining time while another attempt is possible, so that one can follow. */
+    private Duration attemptTimeout() {
+        Duration remaining = remaining();
+        return mAttempts < mServices.limits().maxAttempts() ? remaining.dividedBy(2) : remaining;
+    }
+
+    private Duration remaining() {
+        return Duration.ofNanos(mDeadlineNanos - mServices.nanos().getAsLong());
+    }
+
+    /** Up to a quarter of the wait, so that refused callers do not come back together. */
+    private Duration jitter(Duration wait) {
+        return Duration.ofNanos((long) (mServices.random().nextDouble() * wait.toNanos() / 4));
+    }
+
+    private void fail(String reason) {
+        mResult.complete(new CallResult.Failed(reason));
+    }
+}
--- /dev/null
+++ b/client/src/main/java/io/azurestage/client/JettyTransport.java
@@ -0,0 +1,75 @@
+package io.azurestage.client;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** Sends attempts with Jetty's client over HTTP/1.1. */
+final class JettyTransport implements Transport, AutoCloseable {
+    private static final long CONNECT_TIMEOUT_MS = 500;
+    private static final int QUEUED_PER_ENTRY = 100_000;
+
+    private final HttpClient mHttp;
+    private final int mMaxBuffered;
+
+    JettyTransport(int maxBuffered, int connectionsPerEntry) {
+        mMaxBuffered = maxBuffered;
+        mHttp = new HttpClient();
+        QueuedThreadPool threads = new QueuedThreadPool();
+        threads.setName("azurestage-client");
+        threads.setDaemon(true);
+        mHttp.setExecutor(threads);
+        mHttp.setFollowRedirects(false);
+        mHttp.setHttpCookieStore(new HttpCookieStore.Empty());
+        mHttp.setConnectTimeout(CONNECT_TIMEOUT_MS);
+        mHttp.setMaxConnectionsPerDestination(connectionsPerEntry);
+        mHttp.setMaxRequestsQueuedPerDestination(QUEUED_PER_ENTRY);
+        try {
+            mHttp.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("cannot start the HTTP client: " + e.getMessage(), e);
+        }
+        // Status codes such as 401 and 303 belong to the caller, not to Jetty's client.
+        mHttp.getProtocolHandlers().clear();
+        mHttp.getContentDecoderFactories().clear();
+    }
+
+    @Override
+    public CompletableFuture<Answer> send(URI entry, Outgoing outgoing, Duration timeout) {
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        Request request =
+                mHttp.newRequest(target(entry, outgoing.path()))
+                        .method(outgoing.method())
+                        .timeout(Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
+        request.headers(headers -> outgoing.headers().forEach(headers::put));
+        if (outgoing.body().length > 0) {
+            request.body(new BytesRequestContent(outgoing.body()));
+        }
+        request.send(new ResponseReader(outgoing.method(), mMaxBuffered, outgoing.sink(), answer));
+        return answer;
+    }
+
+    /** Concatenates, because resolving a path such as //x would replace the host. */
+    private static URI target(URI entry, String path) {
+        return URI.create(entry.getScheme() + "://" + entry.getAuthority() + path);
+    }
+
+    void after(Duration delay, Runnable task) {
+        mHttp.getScheduler().schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void close() {
+        try {
+            mHttp.stop();
+        } catch (Exception e) {
+            throw new IllegalStateException("cannot stop the HTTP client: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/client/src/main/java/io/azurestage/client/Ran.java
@@ -0,0 +1,9 @@
+package io.azurestage.client;
+
+/** Whether a call that got no whole response has run. */
+public enum Ran {
+    /** The call did not run, and never will. */
+    NOT_RUN,
+    /** The call may have run. */
+    UNKNOWN
+}
--- /dev/null
+++ b/client/src/main/java/io/azurestage/client/Refusals.java
@@ -0,0 +1,52 @@
+package io.azurestage.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Reads refusals in the format of RFC 9457. */
+final class Refusals {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String TYPE_PREFIX = "urn:azurestage:refusal:";
+
+    private Refusals() {}
+
+    static Optional<CallResult.Refused> read(Answer.Complete answer) {
+        if (!answer.header("content-type").startsWith("application/problem+json")) {
+            return Optional.empty();
+        }
+        try {
+            JsonNode problem = JSON.readTree(answer.body());
+            String type = problem.path("type").asText();
+            if (!type.startsWith(TYPE_PREFIX)) {
+                return Optional.empty();
+            }
+            boolean notRun = problem.path("ran").asText().equals("not-run");
+            long retryAfterMs = Math.max(0, problem.path("retryAfterMs").asLong());
+            return Optional.of(
+                    new CallResult.Refused(
+                            type.substring(TYPE_PREFIX.length()),
+                            notRun ? Ran.NOT_RUN : Ran.UNKNOWN,
+                            Duration.ofMillis(retryAfterMs),
+                            problem.path("remedy").asText(),
+                            problem.path("requestId").asText()));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Reads the ticket of a ticket response; empty if the response has none. */
+    static Optional<String> ticket(Answer.Complete answer) {
+        if (answer.status() / 100 != 2) {
+            return Optional.empty();
+        }
+        try {
+            String ticket = JSON.readTree(answer.body()).path("ticket").asText();
+            return ticket.isEmpty() ? Optional.empty() : Optional.of(ticket);
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/client/src/main/java/io/azurestage/client/Transport.java
@@ -0,0 +1,11 @@
+package io.azurestage.client;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/** Sends one attempt. The future always completes normally. */
+@FunctionalInterface
+interface Transport {
+    CompletableFuture<Answer> send(URI entry, Outgoing request, Duration timeout);
+}
--- /dev/null
+++ b/client/src/main/java/io/azurestage/client/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Callers' library: calls services through any node of the mesh.
+ *
+ * <p>Start at {@link io.azurestage.client.AzurestageClient}.
+ */
+package io.azurestage.client;
--- /dev/null
+++ b/client/src/test/java/io/azurestage/client/JettyTransportTest.java
@@ -0,0 +1,141 @@
+package io.azurestage.client;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class JettyTransportTest {
+    private ServerSocket mServer;
+    private AzurestageClient mClient;
+    private volatile String mResponse;
+
+    @BeforeEach
+    void start() throws IOException {
+        mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(this::serve);
+        thread.setDaemon(true);
+        thread.start();
+        mClient =
+                AzurestageClient.builder()
+                        .entries(List.of(URI.create("http://127.0.0.1:" + mServer.getLocalPort())))
+                        .partner("p", "secret")
+                        .maxAttempts(2)
+                        .maxBuffered(10)
+                        .build();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mClient.close();
+        mServer.close();
+    }
+
+    private void serve() {
+        while (!mServer.isClosed()) {
+            try (Socket socket = mServer.accept()) {
+                var in = socket.getInputStream();
+                int last = 0;
+                while (last != 0x0d0a0d0a) {
+                    last = last << 8 | in.read();
+                }
+                socket.getOutputStream().write(mResponse.getBytes(StandardCharsets.US_ASCII));
+                socket.shutdownOutput();
+                while (in.read() >= 0) {
+                    continue;
+                }
+            } catch (IOException e) {
+                continue;
+            }
+        }
+    }
+
+    private CallResult get(BodySink sink) {
+        return mClient.call("s").deadline(Duration.ofSeconds(20)).sink(sink).send().join();
+    }
+
+    /** Guards against reporting a broken transfer as a whole response. */
+    @Nested
+    class BrokenTransfer {
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "",
+                    "HTTP/1.1 200 OK\r\n",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcd",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nabcdefghijklmn",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0",
+                    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabcd"
+                })
+        void isNeverWhole(String response) {
+            mResponse = response;
+            assertThat(get(bytes -> {})).isInstanceOf(CallResult.Failed.class);
+        }
+    }
+
+    @Nested
+    class LongBody {
+        private static final String LONG =
+                "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nabcdefghijklmno";
+
+        /** Guards against losing the first bytes, which are buffered before the limit is passed. */
+        @Test
+        void reachesTheSinkFromItsFirstByte() {
+            mResponse = LONG;
+            ByteArrayOutputStream seen = new ByteArrayOutputStream();
+            CallResult result = get(bytes -> seen.writeBytes(copy(bytes)));
+            assertThat(seen.toString(StandardCharsets.US_ASCII)).isEqualTo("abcdefghijklmno");
+            assertThat(((CallResult.Whole) result).streamedBytes()).isEqualTo(15);
+        }
+
+        /** Guards against unbounded memory when the caller expects a short response. */
+        @Test
+        void failsWithoutSink() {
+            mResponse = LONG;
+            assertThat(get(null).toString()).contains("pass a sink");
+        }
+
+        /** Guards against a whole result although the caller could not store the body. */
+        @Test
+        void failsWhenTheSinkFails() {
+            mResponse = LONG;
+            CallResult result =
+                    get(
+                            bytes -> {
+                                throw new IOException("disk full");
+                            });
+            assertThat(result).isInstanceOf(CallResult.Failed.class);
+        }
+
+        private static byte[] copy(ByteBuffer bytes) {
+            byte[] copy = new byte[bytes.remaining()];
+            bytes.get(copy);
+            return copy;
+        }
+    }
+
+    /** Guards against treating a whole short response or an unauthorised status as a failure. */
+    @ParameterizedTest
+    @ValueSource(ints = {200, 303, 401, 500})
+    void wholeResponseKeepsItsStatus(int status) {
+        mResponse = "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok";
+        CallResult.Whole whole = (CallResult.Whole) get(null);
+        assertThat(whole.status()).isEqualTo(status);
+        assertThat(whole.body()).asString().isEqualTo("ok");
+    }
+}
