--- /dev/null
+++ b/bench/src/main/java/io/azurestage/bench/SystemPacer.java
@@ -0,0 +1,41 @@
+package io.azurestage.bench;
+
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/** Real time, with a scheduler of its own. */
+final class SystemPacer implements Pacer, AutoCloseable {
+    private final ScheduledThreadPoolExecutor mTimer =
+            new ScheduledThreadPoolExecutor(
+                    1,
+                    task -> {
+                        Thread thread = new Thread(task, "load-retries");
+                        thread.setDaemon(true);
+                        return thread;
+                    });
+
+    @Override
+    public long nanos() {
+        return System.nanoTime();
+    }
+
+    @Override
+    public void waitUntil(long nanos) {
+        long left = nanos - System.nanoTime();
+        while (left > 0) {
+            LockSupport.parkNanos(left);
+            left = nanos - System.nanoTime();
+        }
+    }
+
+    @Override
+    public void after(long nanos, Runnable task) {
+        mTimer.schedule(task, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void close() {
+        mTimer.shutdownNow();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/azurestage/bench/Topology.java
@@ -0,0 +1,77 @@
+package io.azurestage.bench;
+
+import io.azurestage.bench.standin.BackendSpec;
+import io.azurestage.bench.standin.ServiceTime;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * A sequential chain of services. The sizes follow the table in section 1.3 of the design page,
+ * with slots and connections divided by {@link #SCALE}.
+ */
+record Topology(List<Service> services) {
+    /** Slots and connections of the design page are divided by this factor. */
+    static final int SCALE = 5;
+
+    private static final int SERVERS = 4;
+    private static final int SLOTS = 130 / SCALE;
+    private static final int SLOTS_OF_SLOWEST = Math.round(13f / SCALE);
+    private static final int CONNECTIONS = 900 / SCALE;
+    private static final Duration TIME = Duration.ofMillis(5);
+    private static final Duration TIME_OF_SLOWEST = Duration.ofMillis(40);
+    private static final double SPREAD = 0.2;
+
+    /** One service of the chain. */
+    record Service(String name, int servers, int slots, Duration time, int connections) {
+        /** Requests per second that all servers of the service can carry. */
+        double capacity() {
+            return servers * slots * 1e9 / time.toNanos();
+        }
+    }
+
+    Topology {
+        services = List.copyOf(services);
+    }
+
+    /** Returns a chain whose slowest service is the last but one, or the last if it is short. */
+    static Topology chain(int depth) {
+        if (depth < 1) {
+            throw new IllegalArgumentException("depth must be at least 1, not " + depth);
+        }
+        int slowest = depth > 2 ? depth - 2 : depth - 1;
+        List<Service> services = new ArrayList<>();
+        for (int i = 0; i < depth; i++) {
+            boolean slow = i == slowest;
+            services.add(
+                    new Service(
+                            slow ? "stable-return-keeper" : "service-" + i,
+                            SERVERS,
+                            slow ? SLOTS_OF_SLOWEST : SLOTS,
+                            slow ? TIME_OF_SLOWEST : TIME,
+                            CONNECTIONS));
+        }
+        return new Topology(services);
+    }
+
+    List<String> names() {
+        return services.stream().map(Service::name).toList();
+    }
+
+    Service slowest() {
+        return services.stream().min(Comparator.comparingDouble(Service::capacity)).orElseThrow();
+    }
+
+    /** Describes one server of a service. */
+    BackendSpec spec(int service, int server, int queue, long seed) {
+        Service s = services.get(service);
+        List<String> next =
+                service + 1 < services.size()
+                        ? List.of(services.get(service + 1).name())
+                        : List.of();
+        ServiceTime time = ServiceTime.uniform(s.time(), SPREAD);
+        return new BackendSpec(
+                s.name(), s.slots(), queue, time, next, seed + 1000L * service + server);
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/io/azurestage/bench/LoadGeneratorTest.java
@@ -0,0 +1,130 @@
+package io.azurestage.bench;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.bench.standin.RequestKey;
+import io.azurestage.client.CallClass;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class LoadGeneratorTest {
+    private static final List<Phase> PHASES =
+            List.of(
+                    new Phase("base", Duration.ofSeconds(10)),
+                    new Phase("surge", Duration.ofSeconds(20)),
+                    new Phase("after", Duration.ofSeconds(10)));
+
+    private static LoadPlan plan(boolean poisson, long seed, int hardRetries, Double... rates) {
+        Flow flow = new Flow("p", CallClass.NORMAL, "GET", "/checks", List.of(rates), hardRetries);
+        return new LoadPlan(PHASES, List.of(flow, flow), poisson, Duration.ofSeconds(1), seed);
+    }
+
+    private static List<Long> times(LoadPlan plan, int flow) {
+        Arrivals arrivals = new Arrivals(plan, flow);
+        List<Long> times = new ArrayList<>();
+        for (long t = arrivals.next(); t >= 0; t = arrivals.next()) {
+            times.add(t);
+        }
+        return times;
+    }
+
+    private static long between(List<Long> times, LoadPlan plan, int phase) {
+        return times.stream()
+                .filter(t -> t >= plan.startNanos(phase) && t < plan.startNanos(phase + 1))
+                .count();
+    }
+
+    /** Guards against a rate that changes late or is lost at the border of a phase. */
+    @Property(seed = "31", tries = 30)
+    void constantRateGivesTheExactCountInEachPhase(
+            @ForAll @IntRange(max = 300) int base, @ForAll @IntRange(max = 300) int surge) {
+        LoadPlan plan = plan(false, 1, 0, (double) base, (double) surge, (double) base);
+        List<Long> times = times(plan, 0);
+        assertThat(times).isSorted();
+        assertThat((double) between(times, plan, 0)).isBetween(base * 10 - 1.0, base * 10 + 1.0);
+        assertThat((double) between(times, plan, 1)).isBetween(surge * 20 - 1.0, surge * 20 + 1.0);
+    }
+
+    /** Guards against a biased rate: six standard deviations of a Poisson count are allowed. */
+    @Property(seed = "32", tries = 30)
+    void poissonRateIsUnbiased(@ForAll long seed, @ForAll @IntRange(min = 1, max = 300) int rate) {
+        LoadPlan plan = plan(true, seed, 0, 0.0, (double) rate, 0.0);
+        double count = times(plan, 0).size();
+        assertThat(Math.abs(count - rate * 20)).isLessThan(6 * Math.sqrt(rate * 20));
+        assertThat(between(times(plan, 0), plan, 1)).isEqualTo((long) count);
+    }
+
+    /** Guards against runs that cannot be repeated, and against flows in lockstep. */
+    @Property(seed = "33", tries = 20)
+    void seedDecidesTheSendTimes(@ForAll long seed) {
+        LoadPlan plan = plan(true, seed, 0, 10.0, 20.0, 10.0);
+        assertThat(times(plan, 0)).isEqualTo(times(plan, 0)).isNotEqualTo(times(plan, 1));
+        LoadPlan other = plan(true, seed + 1, 0, 10.0, 20.0, 10.0);
+        assertThat(times(plan, 0)).isNotEqualTo(times(other, 0));
+    }
+
+    /** Guards against a closed loop: a slow server must not slow down the generator. */
+    @Test
+    void sendsOnTimeWhileNothingIsAnswered() {
+        VirtualPacer pacer = new VirtualPacer();
+        Caller slow =
+                (flow, key, deadline) -> {
+                    CompletableFuture<Ending> ending = new CompletableFuture<>();
+                    pacer.after(
+                            Duration.ofSeconds(9).toNanos(),
+                            () -> ending.complete(new Ending(Verdict.WHOLE, "")));
+                    return ending;
+                };
+        LoadPlan plan = plan(false, 1, 0, 10.0, 100.0, 10.0);
+        List<Sample> samples = run(plan, slow, pacer);
+        assertThat(samples).hasSize(2 * times(plan, 0).size());
+        assertThat(samples)
+                .allSatisfy(
+                        s -> {
+                            assertThat(s.sentNanos()).isEqualTo(s.intendedNanos());
+                            assertThat(s.endNanos() - s.intendedNanos()).isEqualTo(9_000_000_000L);
+                        });
+    }
+
+    /** Guards against unbounded retries, and against a retry that counts as a new request. */
+    @Property(seed = "34", tries = 30)
+    void impatientCallerRepeatsUntilWholeOrBound(
+            @ForAll @IntRange(max = 5) int hardRetries, @ForAll @IntRange(max = 7) int failures) {
+        VirtualPacer pacer = new VirtualPacer();
+        Map<String, Integer> calls = new HashMap<>();
+        Caller failing =
+                (flow, key, deadline) -> {
+                    int before = calls.merge(key.id(), 1, Integer::sum) - 1;
+                    assertThat(key).extracting(RequestKey::attempt).isEqualTo(before);
+                    Verdict verdict = before < failures ? Verdict.REFUSED : Verdict.WHOLE;
+                    return CompletableFuture.completedFuture(new Ending(verdict, "overloaded"));
+                };
+        LoadPlan plan = plan(false, 1, hardRetries, 5.0, 5.0, 5.0);
+        List<Sample> samples = run(plan, failing, pacer);
+        int attempts = Math.min(failures, hardRetries) + 1;
+        assertThat(samples).hasSize(2 * times(plan, 0).size());
+        assertThat(calls.values()).containsOnly(attempts);
+        assertThat(samples).allMatch(s -> s.whole() == failures <= hardRetries);
+    }
+
+    /** Runs the generator; virtual time goes on after the last send until all have ended. */
+    private static List<Sample> run(LoadPlan plan, Caller caller, VirtualPacer pacer) {
+        List<Sample> samples = new ArrayList<>();
+        LoadGenerator generator =
+                new LoadGenerator(
+                        plan,
+                        caller,
+                        pacer,
+                        () -> pacer.waitUntil(pacer.nanos() + Duration.ofMinutes(1).toNanos()));
+        samples.addAll(generator.run());
+        return samples;
+    }
+}
