--- a/bench/src/main/java/io/azurestage/bench/standin/package-info.java
+++ b/bench/src/main/java/io/azurestage/bench/standin/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-ins for outside systems, with faults that can be switched on and off. */
+/** Stand-ins for the systems around azurestage: backend servers and the key-value service. */
 package io.azurestage.bench.standin;
