Let the owner alone say not-run of a ticketed call

Cause: an entry that refuses a repeat as not run, because it drains or its body limit is lower, tells a caller that nothing ran although its first attempt may have run. Ruled out: refusing at the entry by levels, for the same reason. Change: with a ticket every refusal that does not come from the owner says unknown; the owner seals the ticket before it says not-run and applies the levels of the chain itself. Retries go through RetryPolicy, loans of the allowance through Loan. Before: two places could say not-run of a call that had run.

--- a/node/src/main/java/io/azurestage/node/AdmissionDuty.java
+++ b/node/src/main/java/io/azurestage/node/AdmissionDuty.java
@@ -3,9 +3,11 @@
 import io.azurestage.config.MeshConfig;
 import io.azurestage.core.admission.AdmissionController;
 import io.azurestage.core.admission.Completion;
+import io.azurestage.core.admission.Loan;
 import io.azurestage.core.admission.PartnerClass;
 import io.azurestage.core.admission.Work;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 
 /** The thread that owns the admission controller. */
@@ -15,7 +17,10 @@
 
     private final AdmissionController mController;
     private final Duty mDuty;
-    private volatile double mLoad;
+    private volatile Status mStatus = new Status(0, 0, 0, 0);
+
+    /** What the controller looked like after its last step. */
+    record Status(double load, int limit, int inFlight, int queued) {}
 
     AdmissionDuty(AdmissionController controller, int slots) {
         mController = controller;
@@ -33,7 +38,7 @@
         return mDuty.offer(
                 () -> {
                     mController.offer(w);
-                    mLoad = mController.load();
+                    publish();
                 });
     }
 
@@ -41,7 +46,7 @@
         mDuty.offerPriority(
                 () -> {
                     mController.complete(w, c);
-                    mLoad = mController.load();
+                    publish();
                 });
     }
 
@@ -64,12 +69,29 @@
     }
 
     double load() {
-        return mLoad;
+        return mStatus.load();
+    }
+
+    Status status() {
+        return mStatus;
+    }
+
+    List<Loan> loans() {
+        return mController.loans();
+    }
+
+    private void publish() {
+        mStatus =
+                new Status(
+                        mController.load(),
+                        mController.limit(),
+                        mController.inFlight(),
+                        mController.queued());
     }
 
     private void tick() {
         mController.tick();
-        mLoad = mController.load();
+        publish();
     }
 
     @Override
--- a/node/src/main/java/io/azurestage/node/Node.java
+++ b/node/src/main/java/io/azurestage/node/DataPlane.java
@@ -4,8 +4,10 @@
 import io.azurestage.core.admission.AdmissionController;
 import io.azurestage.core.context.NodeIdentity;
 import io.azurestage.core.context.Signer;
+import io.azurestage.core.event.Event;
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
+import io.azurestage.core.membership.Member;
 import io.azurestage.core.once.OnceRegistry;
 import io.azurestage.core.routing.Endpoint;
 import io.azurestage.core.routing.Router;
@@ -18,12 +20,12 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
 
-/** One running node. */
-public final class Node implements AutoCloseable {
-    private static final int INCARNATION_RANDOM_BITS = 12;
+/** The part of a node that carries calls. */
+final class DataPlane implements AutoCloseable {
     private static final long ONCE_BYTES = 64L << 20;
     private static final long SWEEP_MILLIS = 1_000;
 
@@ -36,22 +38,21 @@
     private final Flights mFlights;
     private final ScheduledExecutorService mTimer;
 
-    private Node(NodeSettings s, TimeSource time) {
-        long start = time.now().toEpochMilli();
+    private DataPlane(NodeSettings s, TimeSource time, Consumer<Event> eventSink) {
         NodeIdentity self =
                 new NodeIdentity(
-                        s.nodeId(),
-                        start << INCARNATION_RANDOM_BITS
-                                | ThreadLocalRandom.current()
-                                        .nextInt(1 << INCARNATION_RANDOM_BITS));
+                        s.nodeId(), Member.newIncarnation(time, ThreadLocalRandom.current()));
         HybridClock clock = new HybridClock(time);
-        EventLog events = new EventLog(s.nodeId(), clock, s.eventCapacity(), e -> {});
+        EventLog events = new EventLog(s.nodeId(), clock, s.eventCapacity(), eventSink);
         Router router = new Router(s.dataCentre(), s.region(), time, RandomGenerator.getDefault());
         Signer signer = new Signer(HexFormat.of().parseHex(s.meshKey()));
         mShared = new Shared(s, self, time, clock, signer, router, events, new NodeMetrics());
         mFlights = new Flights(mShared.metrics());
-        mTimer = Executors.newSingleThreadScheduledExecutor(Node::timerThread);
-        mAdmission = new AdmissionDuty(new AdmissionController(s.slots(), time), s.slots());
+        mTimer = Executors.newSingleThreadScheduledExecutor(DataPlane::timerThread);
+        mAdmission =
+                new AdmissionDuty(
+                        new AdmissionController(s.slots(), time, new LoanReports(mShared)),
+                        s.slots());
         mToNodes = HttpClients.toNodes(s);
         mToBackend = HttpClients.toBackend(s);
         OnceRegistry once = new OnceRegistry(self, s.maxTickets(), ONCE_BYTES, time);
@@ -72,15 +73,10 @@
                         new EgressHandler(mShared, forwarder, mFlights));
     }
 
-    /**
-     * Starts a node.
-     *
-     * @param settings checked settings
-     * @return the running node
-     * @throws NodeStartException if a port cannot be opened
-     */
-    public static Node start(NodeSettings settings) throws NodeStartException {
-        Node node = new Node(settings, TimeSource.system());
+    /** Opens the ports; refuses all calls until a configuration is in force. */
+    static DataPlane start(NodeSettings settings, TimeSource time, Consumer<Event> eventSink)
+            throws NodeStartException {
+        DataPlane node = new DataPlane(settings, time, eventSink);
         try {
             node.open();
             return node;
@@ -103,57 +99,61 @@
         mShared.events().record(EventType.NODE_STARTED, Map.of("ingress", ingress().toString()));
     }
 
-    /**
-     * Returns this node's identity.
-     *
-     * @return node id and incarnation
-     */
-    public NodeIdentity identity() {
+    NodeIdentity identity() {
         return mShared.self();
     }
 
-    /**
-     * Returns the address where callers and other nodes connect.
-     *
-     * @return the address with the real port
-     */
-    public HostPort ingress() {
+    HostPort ingress() {
         return mServers.ingress();
     }
 
-    /**
-     * Returns the address where the backend server connects.
-     *
-     * @return the address with the real port
-     */
-    public HostPort egress() {
+    HostPort egress() {
         return mServers.egress();
     }
 
-    /**
-     * Puts a configuration in force.
-     *
-     * @param config the configuration
-     */
-    public void apply(MeshConfig config) {
+    /** Puts a configuration in force. */
+    void apply(MeshConfig config) {
         mShared.config(config);
         mOwner.configure(config);
+    }
+
+    /** Starts to take calls. A configuration must be in force. */
+    void serve() {
         if (mShared.lifecycle() == Lifecycle.JOINING) {
             mShared.lifecycle(Lifecycle.SERVING);
             mShared.events().record(EventType.NODE_READY, Map.of());
         }
     }
 
-    /**
-     * Replaces the known backend servers.
-     *
-     * @param endpoints all that are alive
-     */
-    public void endpoints(List<Endpoint> endpoints) {
+    /** Starts to leave: others are told, and until {@link #drain} work is still taken. */
+    void leave() {
+        mShared.lifecycle(Lifecycle.LEAVING);
+        mShared.events().record(EventType.NODE_DRAINING, Map.of());
+    }
+
+    /** Takes no new work from now on. */
+    void drain() {
+        mShared.lifecycle(Lifecycle.DRAINING);
+    }
+
+    /** Calls in progress, in and out. */
+    int inProgress() {
+        return mFlights.open();
+    }
+
+    Shared shared() {
+        return mShared;
+    }
+
+    AdmissionDuty admission() {
+        return mAdmission;
+    }
+
+    /** Replaces the known backend servers. */
+    void endpoints(List<Endpoint> endpoints) {
         mShared.router().update(endpoints);
     }
 
-    /** Ends the node at once. Use {@link #drain} before, so that no request is cut off. */
     @Override
     public void close() {
         mServers.stop();
--- a/node/src/main/java/io/azurestage/node/Entry.java
+++ b/node/src/main/java/io/azurestage/node/Entry.java
@@ -44,7 +44,7 @@
                                     "the body is longer than " + limit + " bytes"));
         }
         if (refusal.isPresent()) {
-            Replies.refuse(mShared, id, response, callback, refusal.get());
+            Replies.refuse(mShared, id, response, callback, asRepeat(request, refusal.get()));
             return;
         }
         Body.read(request, limit)
@@ -58,11 +58,16 @@
                                         id,
                                         response,
                                         callback,
-                                        Replies.unreadableBody(failure, limit));
+                                        asRepeat(request, Replies.unreadableBody(failure, limit)));
                             }
                         });
     }
 
+    /** With a ticket this may be a repeat, and the first attempt may have run. */
+    static Refusal asRepeat(Request request, Refusal r) {
+        return request.getHeaders().contains(Headers.IDEMPOTENCY_KEY) ? r.maybeRan() : r;
+    }
+
     private Optional<Refusal> check(Request request) {
         if (mShared.lifecycle() == Lifecycle.DRAINING) {
             return Optional.of(Refusal.notRun(RefusalKind.DRAINING, "this node is leaving"));
@@ -121,7 +126,7 @@
             ticket = Ticket.decode(key, mShared.signer());
             Optional<Refusal> bad = checkTicket(ticket, request.getHeaders());
             if (bad.isPresent()) {
-                Replies.refuse(mShared, id, response, callback, bad.get());
+                Replies.refuse(mShared, id, response, callback, bad.get().maybeRan());
                 return;
             }
         }
@@ -140,7 +145,7 @@
             return;
         }
         double fraction = call.entryFraction();
-        // A repeat of a ticketed call may find its answer at the owner, so levels do not stop it.
+        // The owner of a ticketed call applies the levels: only it can say not-run of a repeat.
         if (ticket.isEmpty() && id.rank() >= fraction) {
             shed(call, sink, fraction);
             return;
@@ -157,17 +162,18 @@
                 call.id(),
                 call.partner(),
                 Map.of("at", "entry", "fraction", String.format(Locale.ROOT, "%.3f", fraction)));
-        // Callers refused at the same moment come back spread over a second.
-        Duration retryAfter =
-                SHED_RETRY_AFTER.plusMillis(
-                        (long) (call.id().rank() * SHED_RETRY_AFTER.toMillis()));
         sink.refuse(
                 Refusal.notRun(
                         RefusalKind.OVERLOADED,
-                        retryAfter,
+                        retryAfter(call.id()),
                         "a service of the chain is overloaded"));
     }
 
+    /** Callers refused at the same moment come back spread over a second. */
+    static Duration retryAfter(RequestId id) {
+        return SHED_RETRY_AFTER.plusMillis((long) (id.rank() * SHED_RETRY_AFTER.toMillis()));
+    }
+
     private Optional<Refusal> checkTicket(Optional<Ticket> ticket, HttpFields h) {
         if (ticket.isEmpty()) {
             return Optional.of(
@@ -223,7 +229,7 @@
                 body,
                 ticket,
                 0,
-                mShared.levels().fraction(key),
+                ticket.isPresent() ? 1 : mShared.levels().fraction(key),
                 op.idempotent(),
                 false);
     }
--- a/node/src/main/java/io/azurestage/node/Forwarding.java
+++ b/node/src/main/java/io/azurestage/node/Forwarding.java
@@ -5,13 +5,16 @@
 import io.azurestage.core.event.EventType;
 import io.azurestage.core.once.Ticket;
 import io.azurestage.core.retry.Allowance;
+import io.azurestage.core.retry.Attempt;
+import io.azurestage.core.retry.AttemptOutcome;
+import io.azurestage.core.retry.Loan;
+import io.azurestage.core.retry.RetryDecision;
+import io.azurestage.core.retry.RetryPolicy;
 import io.azurestage.core.routing.AttemptResult;
 import io.azurestage.core.routing.Endpoint;
 import io.azurestage.core.routing.Pick;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.HashSet;
-import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -26,10 +29,9 @@
 
 /** One call on its way to a backend server of another service, over all of its attempts. */
 final class Forwarding {
-    private static final Duration MAX_BACKOFF = Duration.ofMillis(20);
+    private static final RetryPolicy RETRIES = RetryPolicy.defaults();
     // The answer of a node that refuses at the deadline needs time to arrive.
     private static final long DEADLINE_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
-    private static final int NONCE_BYTES = 16;
 
     private final Shared mShared;
     private final HttpClient mClient;
@@ -40,7 +42,7 @@
     private final AnswerSink mSink;
     private final Set<NodeIdentity> mExclude = new HashSet<>();
     private Optional<Ticket> mOwnTicket = Optional.empty();
-    private boolean mRetry;
+    private int mRetries;
     private boolean mMayHaveRun;
 
     Forwarding(
@@ -61,7 +63,6 @@
     }
 
     void start() {
-        mRetry = mCall.retry();
         attempt(Refusal.notRun(RefusalKind.NO_BACKEND_SERVER, "no backend server is known"));
     }
 
@@ -98,15 +99,16 @@
     private void send(Pick pick, long left) {
         Endpoint e = pick.endpoint();
         if (!mCall.operation().idempotent() && ticket().isEmpty()) {
-            mOwnTicket = Optional.of(newTicket(e));
+            mOwnTicket =
+                    Optional.of(mShared.tickets().issue(e.node(), e.service(), mCall.partner()));
         }
-        int lent = mAllowance.lend();
-        RequestContext ctx = context(e, lent);
+        Loan loan = mAllowance.loan();
+        RequestContext ctx = context(e, loan.retries());
         Request request;
         try {
             request = request(e, ctx, left);
         } catch (IllegalArgumentException bad) {
-            mAllowance.giveBack(lent);
+            loan.giveBack(loan.retries());
             pick.done(AttemptResult.CANCELLED, 0, -1);
             refuse(RefusalKind.BAD_REQUEST, "the path is not valid: " + bad.getMessage());
             return;
@@ -118,7 +120,7 @@
                 mCall.partner(),
                 Map.of("service", mCall.service(), "to", e.node().nodeId()));
         mCancellation.onCancel(() -> request.abort(new CallerGoneException()));
-        new Receiver(new Attempt(pick, ctx, lent)).send(request);
+        new Receiver(new Sent(pick, ctx, loan)).send(request);
     }
 
     private Request request(Endpoint e, RequestContext ctx, long left) {
@@ -155,66 +157,76 @@
                 mCall.depth(),
                 mCall.entryFraction(),
                 mCall.repeatable(),
-                mRetry,
+                mRetries > 0 || mCall.retry(),
                 e.node(),
                 mShared.clock().tick());
     }
 
-    private Ticket newTicket(Endpoint e) {
-        byte[] nonce = new byte[NONCE_BYTES];
-        ThreadLocalRandom.current().nextBytes(nonce);
-        Instant expiry = mShared.time().now().plusMillis(mShared.settings().ticketWindowMillis());
-        return new Ticket(
-                e.node(), e.service(), mCall.partner(), HexFormat.of().formatHex(nonce), expiry);
-    }
-
     private static Refusal ownerGone() {
         return Refusal.unknown(
                 RefusalKind.TICKET_UNKNOWN, "the node that the ticket names is not alive");
     }
 
-    /** The final refusal: not-run only if no attempt may have run. */
+    /**
+     * The final refusal: not-run only if no attempt may have run. With the caller's ticket an
+     * earlier call may have run too, so only the owner can say not-run.
+     */
     private Refusal settle(Refusal r) {
-        if (mMayHaveRun && r.ran() == Ran.NOT_RUN) {
-            return new Refusal(r.kind(), Ran.UNKNOWN, r.retryAfter(), r.detail());
-        }
-        return r;
+        boolean doubt = mMayHaveRun || mCall.ticket().isPresent();
+        return doubt && r.ran() == Ran.NOT_RUN ? r.maybeRan() : r;
     }
 
     private void refuse(RefusalKind kind, String detail) {
         mSink.refuse(settle(Refusal.notRun(kind, detail)));
     }
 
-    private void retry(Refusal ifImpossible) {
-        long left = mCall.deadlineNanos() - mShared.time().nanos();
-        long backoff = ThreadLocalRandom.current().nextLong(MAX_BACKOFF.toNanos());
-        if (left <= backoff || !mAllowance.tryRetry()) {
-            mSink.refuse(settle(ifImpossible));
+    /** Retries if the policy allows it and a retry is left, or else refuses. */
+    private void afterFailure(
+            AttemptOutcome outcome, boolean ownerOnly, Endpoint tried, Refusal ifGivenUp) {
+        Duration left = Duration.ofNanos(mCall.deadlineNanos() - mShared.time().nanos());
+        RetryDecision d =
+                RETRIES.decide(
+                        new Attempt(
+                                outcome,
+                                mCall.operation().idempotent(),
+                                ownerOnly,
+                                mRetries,
+                                left,
+                                mAllowance.left()),
+                        ThreadLocalRandom.current());
+        if (d instanceof RetryDecision.GiveUp || !mAllowance.tryRetry()) {
+            mSink.refuse(ifGivenUp);
             return;
         }
-        mRetry = true;
+        mRetries++;
         mShared.metrics().retries().labelValues(mCall.service(), mCall.partner()).inc();
         mShared.event(
                 EventType.RETRY_STARTED,
                 mCall.id(),
                 mCall.partner(),
                 Map.of("service", mCall.service()));
-        mDelay.schedule(Duration.ofNanos(backoff), () -> attempt(ifImpossible));
+        if (d instanceof RetryDecision.RetryElsewhere elsewhere) {
+            mExclude.add(tried.node());
+            mOwnTicket = Optional.empty();
+            mDelay.schedule(elsewhere.delay(), () -> attempt(ifGivenUp));
+        } else if (d instanceof RetryDecision.RetrySameOwner same) {
+            mDelay.schedule(same.delay(), () -> attempt(ifGivenUp));
+        }
     }
 
     /** One attempt at one backend server. */
-    private final class Attempt implements Reception {
+    private final class Sent implements Reception {
         private final Pick mPick;
         private final RequestContext mContext;
-        private final int mLent;
+        private final Loan mLoan;
         private final long mStart = mShared.time().nanos();
         private final AtomicBoolean mDone = new AtomicBoolean();
         private StreamSink mStream;
 
-        Attempt(Pick pick, RequestContext context, int lent) {
+        Sent(Pick pick, RequestContext context, Loan loan) {
             mPick = pick;
             mContext = context;
-            mLent = lent;
+            mLoan = loan;
         }
 
         @Override
@@ -248,16 +260,22 @@
                             ? AttemptResult.DRAINING
                             : notRun ? AttemptResult.REFUSED : AttemptResult.FAILED,
                     m.load());
-            // A service that sheds load must not get more of it; other nodes may still take it.
-            boolean elsewhere =
-                    notRun && (kind == RefusalKind.DRAINING || kind == RefusalKind.NOT_READY);
-            if (elsewhere && mCall.ticket().isEmpty()) {
-                mExclude.add(mPick.endpoint().node());
-                mOwnTicket = Optional.empty();
-                retry(r);
-            } else {
-                mSink.refuse(settle(r));
+            // The owner of a ticket seals it before it says not-run, so that is certain.
+            Refusal certain = ticket().isPresent() ? r : settle(r);
+            if (!notRun) {
+                mSink.refuse(certain);
+                return;
             }
+            boolean ownerOnly = mCall.ticket().isPresent();
+            afterFailure(outcome(kind, retryAfter), ownerOnly, mPick.endpoint(), certain);
+        }
+
+        private AttemptOutcome outcome(RefusalKind kind, Duration retryAfter) {
+            return switch (kind) {
+                case DRAINING -> new AttemptOutcome.Draining();
+                case NOT_READY, NO_BACKEND_SERVER -> new AttemptOutcome.RefusedNotRun();
+                default -> new AttemptOutcome.RefusedOverloaded(retryAfter);
+            };
         }
 
         @Override
@@ -292,14 +310,14 @@
                 return;
             }
             if (!sent) {
-                mAllowance.giveBack(mLent);
+                mLoan.giveBack(mLoan.retries());
             } else {
                 mMayHaveRun = true;
             }
-            afterFailure(cause, sent, cancelled);
+            giveUpOrRetry(cause, sent, cancelled);
         }
 
-        private void afterFailure(Throwable cause, boolean sent, boolean cancelled) {
+        private void giveUpOrRetry(Throwable cause, boolean sent, boolean cancelled) {
             if (cancelled) {
                 refuse(RefusalKind.CANCELLED, "the caller went away");
                 return;
@@ -314,17 +332,13 @@
                             sent ? Ran.UNKNOWN : Ran.NOT_RUN,
                             Duration.ZERO,
                             "the connection to service " + mCall.service() + " failed");
-            boolean ticketed = ticket().isPresent();
-            if (!ticketed || (!sent && mCall.ticket().isEmpty())) {
-                mExclude.add(mPick.endpoint().node());
-                mOwnTicket = Optional.empty();
-            }
             // A ticket makes a repeat at the same owner safe: it runs at most once there.
-            if (!sent || ticketed || mCall.operation().idempotent()) {
-                retry(r);
-            } else {
-                mSink.refuse(settle(r));
-            }
+            boolean ownerOnly = sent ? ticket().isPresent() : mCall.ticket().isPresent();
+            afterFailure(
+                    sent ? new AttemptOutcome.LostAnswer() : new AttemptOutcome.ConnectFailed(),
+                    ownerOnly,
+                    mPick.endpoint(),
+                    settle(r));
         }
 
         private Optional<AnswerMeta> meta(Response r) {
@@ -336,7 +350,7 @@
 
         private void learn(AnswerMeta m) {
             mShared.clock().receive(m.time());
-            mAllowance.giveBack(Math.min(mLent, m.unusedAllowance()));
+            mLoan.giveBack(m.unusedAllowance());
             mShared.levels().learn(mCall.chainKey(), m.levels());
         }
 
--- a/node/src/main/java/io/azurestage/node/Hop.java
+++ b/node/src/main/java/io/azurestage/node/Hop.java
@@ -57,9 +57,11 @@
         if (deadlineNanos - mShared.time().nanos() <= 0) {
             answerFor(ctx, response, callback)
                     .refuse(
-                            Refusal.notRun(
-                                    RefusalKind.DEADLINE_EXCEEDED,
-                                    "the deadline passed on the way"));
+                            Entry.asRepeat(
+                                    request,
+                                    Refusal.notRun(
+                                            RefusalKind.DEADLINE_EXCEEDED,
+                                            "the deadline passed on the way")));
             return;
         }
         if (!mShared.progress().firstSight(ctx.attemptId(), deadlineNanos)) {
@@ -74,7 +76,7 @@
             return;
         }
         if (mShared.lifecycle() == Lifecycle.JOINING) {
-            answerFor(ctx, response, callback).refuse(Replies.notReady());
+            answerFor(ctx, response, callback).refuse(Entry.asRepeat(request, Replies.notReady()));
             return;
         }
         int limit = mShared.settings().maxBodyBytes();
@@ -85,7 +87,10 @@
                                 run(ctx, deadlineNanos, body, request, response, callback);
                             } else {
                                 answerFor(ctx, response, callback)
-                                        .refuse(Replies.unreadableBody(failure, limit));
+                                        .refuse(
+                                                Entry.asRepeat(
+                                                        request,
+                                                        Replies.unreadableBody(failure, limit)));
                             }
                         });
     }
@@ -110,9 +115,11 @@
                         o -> answerHeader(ctx, call, progress, o));
         if (!mShared.settings().service().equals(call.service())) {
             sink.refuse(
-                    Refusal.notRun(
-                            RefusalKind.NO_BACKEND_SERVER,
-                            "this node serves " + mShared.settings().service()));
+                    Entry.asRepeat(
+                            request,
+                            Refusal.notRun(
+                                    RefusalKind.NO_BACKEND_SERVER,
+                                    "this node serves " + mShared.settings().service())));
             return;
         }
         request.addFailureListener(t -> cancellation.cancel());
--- a/node/src/main/java/io/azurestage/node/IngressHandler.java
+++ b/node/src/main/java/io/azurestage/node/IngressHandler.java
@@ -31,7 +31,8 @@
         if (Tickets.PATH.equals(request.getHttpURI().getPath())) {
             mTickets.handle(id, request, response, callback);
         } else if (mShared.lifecycle() == Lifecycle.JOINING) {
-            Replies.refuse(mShared, id, response, callback, Replies.notReady());
+            Refusal r = Entry.asRepeat(request, Replies.notReady());
+            Replies.refuse(mShared, id, response, callback, r);
         } else {
             mEntry.handle(id, request, response, callback);
         }
--- /dev/null
+++ b/node/src/main/java/io/azurestage/node/LoanReports.java
@@ -0,0 +1,34 @@
+package io.azurestage.node;
+
+import io.azurestage.config.WorkClass;
+import io.azurestage.core.admission.LoanListener;
+import io.azurestage.core.event.EventType;
+import java.util.Map;
+
+/** Makes borrowing visible: an event and a metric that name lender and borrower. */
+final class LoanReports implements LoanListener {
+    private final Shared mShared;
+
+    LoanReports(Shared shared) {
+        mShared = shared;
+    }
+
+    @Override
+    public void changed(String lender, String borrower, WorkClass workClass, int slots) {
+        mShared.metrics().lent().labelValues(lender, borrower, workClass.name()).set(slots);
+        mShared.events()
+                .record(
+                        slots > 0 ? EventType.SHARE_LENT : EventType.SHARE_RETURNED,
+                        "",
+                        borrower,
+                        Map.of(
+                                "lender",
+                                lender,
+                                "borrower",
+                                borrower,
+                                "workClass",
+                                workClass.name(),
+                                "slots",
+                                String.valueOf(slots)));
+    }
+}
--- a/node/src/main/java/io/azurestage/node/OnceSink.java
+++ b/node/src/main/java/io/azurestage/node/OnceSink.java
@@ -25,10 +25,11 @@
     @Override
     public void refuse(Refusal r) {
         if (r.ran() == Ran.NOT_RUN) {
-            mOnce.seal(mTicket);
-        } else {
-            mOnce.complete(mTicket, Optional.empty());
+            boolean sealed = mOnce.seal(mTicket);
+            mNext.refuse(sealed ? r : r.maybeRan());
+            return;
         }
+        mOnce.complete(mTicket, Optional.empty());
         mNext.refuse(r);
     }
 
--- a/node/src/main/java/io/azurestage/node/Owner.java
+++ b/node/src/main/java/io/azurestage/node/Owner.java
@@ -5,6 +5,7 @@
 import io.azurestage.core.context.RequestContext;
 import io.azurestage.core.event.EventType;
 import io.azurestage.core.once.Claim;
+import io.azurestage.core.once.Fingerprint;
 import io.azurestage.core.once.OnceRegistry;
 import io.azurestage.core.once.StoredAnswer;
 import io.azurestage.core.once.Ticket;
@@ -41,22 +42,21 @@
             sink.refuse(
                     Refusal.notRun(RefusalKind.TICKET_REQUIRED, "the operation is not idempotent"));
         } else {
-            admit(call, progress, sink, Optional.empty());
+            admit(call, progress, sink, false);
         }
     }
 
     private void claim(
             Call call, RequestContext ctx, Progress progress, Ticket ticket, AnswerSink sink) {
         Claim claim =
-                mOnce.claim(ticket, Fingerprints.of(call), answer -> replay(call, answer, sink));
+                mOnce.claim(
+                        ticket,
+                        Fingerprint.of(call.method(), call.target(), call.body()),
+                        answer -> replay(call, answer, sink));
         String outcome = claim.getClass().getSimpleName();
         mShared.metrics().ticketClaims().labelValues(outcome).inc();
         if (claim instanceof Claim.First) {
-            if (isLeaving(sink)) {
-                mOnce.seal(ticket);
-                return;
-            }
-            admit(call, progress, new OnceSink(sink, mOnce, ticket), Optional.of(ticket));
+            admitTicketed(call, progress, new OnceSink(sink, mOnce, ticket));
         } else if (claim instanceof Claim.Done done) {
             replay(call, Optional.of(done.answer()), sink);
         } else if (claim instanceof Claim.Sealed) {
@@ -98,12 +98,27 @@
         sink.whole(answer.get().status(), headers.asImmutable(), answer.get().body());
     }
 
-    private void admit(Call call, Progress progress, AnswerSink sink, Optional<Ticket> ticket) {
+    /**
+     * The entry cannot refuse a ticketed call as not run, because an earlier attempt may have run.
+     * Only this node knows, so the levels of the chain are applied here.
+     */
+    private void admitTicketed(Call call, Progress progress, AnswerSink sink) {
+        if (call.id().rank() >= mShared.levels().fraction(call.chainKey())) {
+            sink.refuse(
+                    Refusal.notRun(
+                            RefusalKind.OVERLOADED,
+                            Entry.retryAfter(call.id()),
+                            "a service of the chain is overloaded"));
+            return;
+        }
+        admit(call, progress, sink, true);
+    }
+
+    private void admit(Call call, Progress progress, AnswerSink sink, boolean ticketed) {
         if (isLeaving(sink)) {
             return;
         }
-        new OwnerRun(mShared, mAdmission, mClient, call, progress, sink, ticket.isPresent())
-                .start();
+        new OwnerRun(mShared, mAdmission, mClient, call, progress, sink, ticketed).start();
     }
 
     private boolean isLeaving(AnswerSink sink) {
@@ -121,6 +136,7 @@
         if (own != null) {
             all.merge(mShared.settings().service(), own, Math::min);
         }
+        mShared.levels().learn(call.chainKey(), all);
         return all;
     }
 
--- a/node/src/main/java/io/azurestage/node/Refusal.java
+++ b/node/src/main/java/io/azurestage/node/Refusal.java
@@ -32,6 +32,11 @@
         return new Refusal(kind, Ran.UNKNOWN, Duration.ZERO, detail);
     }
 
+    /** The same refusal without the promise that nothing ran. */
+    Refusal maybeRan() {
+        return new Refusal(kind, Ran.UNKNOWN, retryAfter, detail);
+    }
+
     byte[] json(String requestId) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("type", TYPE_PREFIX + kind.text());
--- a/node/src/main/java/io/azurestage/node/Shared.java
+++ b/node/src/main/java/io/azurestage/node/Shared.java
@@ -8,9 +8,12 @@
 import io.azurestage.core.context.Signer;
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
+import io.azurestage.core.once.TicketIssuer;
 import io.azurestage.core.routing.Router;
 import io.azurestage.core.time.HybridClock;
 import io.azurestage.core.time.TimeSource;
+import java.security.SecureRandom;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
@@ -29,6 +32,7 @@
     private final EventLog mEvents;
     private final NodeMetrics mMetrics;
     private final ProgressTable mProgress = new ProgressTable();
+    private final TicketIssuer mTickets;
     private volatile MeshConfig mConfig;
     private volatile Lifecycle mLifecycle = Lifecycle.JOINING;
 
@@ -52,6 +56,9 @@
         mContexts = new ContextCodec(signer, self);
         mAnswers = new AnswerCodec(signer);
         mLevels = new ChainLevels(time);
+        mTickets =
+                new TicketIssuer(
+                        time, new SecureRandom(), Duration.ofMillis(settings.ticketWindowMillis()));
     }
 
     NodeSettings settings() {
@@ -102,6 +109,10 @@
         return mProgress;
     }
 
+    TicketIssuer tickets() {
+        return mTickets;
+    }
+
     MeshConfig config() {
         return mConfig;
     }
@@ -124,7 +135,7 @@
 
     /** Converts a wall-clock deadline to the monotonic clock. */
     long nanosOf(Instant deadline) {
-        return mTime.nanos() + java.time.Duration.between(mTime.now(), deadline).toNanos();
+        return mTime.nanos() + Duration.between(mTime.now(), deadline).toNanos();
     }
 
     void event(EventType type, RequestId id, String partner, Map<String, String> fields) {
--- a/node/src/main/java/io/azurestage/node/Tickets.java
+++ b/node/src/main/java/io/azurestage/node/Tickets.java
@@ -7,9 +7,6 @@
 import io.azurestage.core.routing.AttemptResult;
 import io.azurestage.core.routing.Pick;
 import java.nio.ByteBuffer;
-import java.security.SecureRandom;
-import java.time.Instant;
-import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -24,10 +21,8 @@
     static final String PATH = "/azurestage/v1/tickets";
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final int NONCE_BYTES = 16;
 
     private final Shared mShared;
-    private final SecureRandom mRandom = new SecureRandom();
 
     Tickets(Shared shared) {
         mShared = shared;
@@ -51,7 +46,12 @@
             return;
         }
         pick.get().done(AttemptResult.CANCELLED, 0, -1);
-        Ticket t = issue(pick.get(), service, request.getHeaders().get(Headers.PARTNER));
+        Ticket t =
+                mShared.tickets()
+                        .issue(
+                                pick.get().endpoint().node(),
+                                service,
+                                request.getHeaders().get(Headers.PARTNER));
         answer(t, response, callback);
     }
 
@@ -81,14 +81,6 @@
         return query.getValue("service");
     }
 
-    private Ticket issue(Pick pick, String service, String partner) {
-        byte[] nonce = new byte[NONCE_BYTES];
-        mRandom.nextBytes(nonce);
-        Instant expiry = mShared.time().now().plusMillis(mShared.settings().ticketWindowMillis());
-        return new Ticket(
-                pick.endpoint().node(), service, partner, HexFormat.of().formatHex(nonce), expiry);
-    }
-
     private void answer(Ticket t, Response response, Callback callback) {
         try {
             byte[] json =
--- a/node/src/test/java/io/azurestage/node/PathTest.java
+++ b/node/src/test/java/io/azurestage/node/PathTest.java
@@ -56,7 +56,7 @@
         void runARequestOnce() throws Exception {
             String ticket = mMesh.ticket(mMesh.node(1), "a");
             mMesh.backend(0).behaviour((q, s, c) -> FakeBackend.reply(s, c, 200, "recorded"));
-            for (Node entry : mMesh.nodes()) {
+            for (DataPlane entry : mMesh.nodes()) {
                 ContentResponse r =
                         mMesh.send(
                                 entry,
--- a/node/src/test/java/io/azurestage/node/TestMesh.java
+++ b/node/src/test/java/io/azurestage/node/TestMesh.java
@@ -4,6 +4,7 @@
 import io.azurestage.config.ConfigBuilder;
 import io.azurestage.config.MeshConfig;
 import io.azurestage.core.routing.Endpoint;
+import io.azurestage.core.time.TimeSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -17,7 +18,7 @@
     static final List<String> CHAIN = List.of("a", "b", "c");
 
     private final List<FakeBackend> mBackends = new ArrayList<>();
-    private final List<Node> mNodes = new ArrayList<>();
+    private final List<DataPlane> mNodes = new ArrayList<>();
     private final HttpClient mClient = new HttpClient();
     private final List<Endpoint> mEndpoints = new ArrayList<>();
     private final MeshConfig mConfig;
@@ -45,17 +46,21 @@
         return mBackends.get(i);
     }
 
-    Node node(int i) {
+    DataPlane node(int i) {
         return mNodes.get(i);
     }
 
-    List<Node> nodes() {
+    List<DataPlane> nodes() {
         return List.copyOf(mNodes);
     }
 
-    Node add(String service, String next) throws Exception {
+    DataPlane add(String service, String next) throws Exception {
         FakeBackend backend = new FakeBackend(service, next);
-        Node node = Node.start(settings("node-" + mNodes.size(), service, backend.address()));
+        DataPlane node =
+                DataPlane.start(
+                        settings("node-" + mNodes.size(), service, backend.address()),
+                        TimeSource.system(),
+                        e -> {});
         backend.egress(node.egress());
         mBackends.add(backend);
         mNodes.add(node);
@@ -69,8 +74,9 @@
                         8,
                         Endpoint.State.SERVING,
                         0));
-        for (Node n : mNodes) {
+        for (DataPlane n : mNodes) {
             n.apply(mConfig);
+            n.serve();
             n.endpoints(mEndpoints);
         }
         return node;
@@ -99,7 +105,7 @@
                 "test");
     }
 
-    Request request(Node entry, String method, String path) {
+    Request request(DataPlane entry, String method, String path) {
         return mClient.newRequest("http://" + entry.ingress() + path)
                 .method(method)
                 .headers(
@@ -110,14 +116,14 @@
                         });
     }
 
-    ContentResponse send(Node entry, String method, String path, Consumer<Request> edit)
+    ContentResponse send(DataPlane entry, String method, String path, Consumer<Request> edit)
             throws Exception {
         Request r = request(entry, method, path);
         edit.accept(r);
         return r.send();
     }
 
-    String ticket(Node entry, String service) throws Exception {
+    String ticket(DataPlane entry, String service) throws Exception {
         ContentResponse r = send(entry, "POST", Tickets.PATH + "?service=" + service, x -> {});
         return new com.fasterxml.jackson.databind.ObjectMapper()
                 .readTree(r.getContentAsString())
@@ -128,7 +134,7 @@
     @Override
     public void close() throws Exception {
         mClient.stop();
-        for (Node n : mNodes) {
+        for (DataPlane n : mNodes) {
             n.close();
         }
         for (FakeBackend b : mBackends) {
