--- a/core/src/main/java/io/azurestage/core/retry/Allowance.java
+++ b/core/src/main/java/io/azurestage/core/retry/Allowance.java
@@ -6,6 +6,7 @@
  */
 public final class Allowance {
     private int mLeft;
+    private int mLent;
     private boolean mClosed;
 
     /**
@@ -34,7 +35,26 @@
     }
 
     /**
-     * Takes half of what is left, rounded up, for a sub-call.
+     * Returns how many retries are left.
+     *
+     * @return 0 if the allowance is closed
+     */
+    public synchronized int left() {
+        return mLeft;
+    }
+
+    /**
+     * Takes half of what is left, rounded up, for one attempt of a sub-call.
+     *
+     * @return the part lent, which takes back at most once what the attempt did not use
+     */
+    public Loan loan() {
+        return new Loan(this, lend());
+    }
+
+    /**
+     * Takes half of what is left, rounded up, for a sub-call. Prefer {@link #loan()}: it also
+     * withstands a duplicate answer that gives back the part of another sub-call.
      *
      * @return retries that the sub-call may use
      */
@@ -44,18 +64,22 @@
         }
         int part = (mLeft + 1) / 2;
         mLeft -= part;
+        mLent += part;
         return part;
     }
 
     /**
-     * Takes back what a sub-call did not use.
+     * Takes back what a sub-call did not use, at most what is lent and has not come back.
      *
      * @param unused retries, 0 or more
      */
     public synchronized void giveBack(int unused) {
-        if (!mClosed && unused > 0) {
-            mLeft += unused;
+        if (mClosed || unused <= 0) {
+            return;
         }
+        int part = Math.min(unused, mLent);
+        mLent -= part;
+        mLeft += part;
     }
 
     /**
