--- a/core/src/main/java/io/azurestage/core/event/EventType.java
+++ b/core/src/main/java/io/azurestage/core/event/EventType.java
@@ -42,6 +42,7 @@
     MEMBER_LEFT(503, Severity.INFO, "a member left"),
     MEMBER_REFUTED(504, Severity.INFO, "this node refuted a suspicion"),
     NODE_ISOLATED(505, Severity.WARNING, "most probes of this node fail"),
+    NODE_SUPERSEDED(506, Severity.ERROR, "another process runs under this node id"),
 
     CONFIG_ADOPTED(600, Severity.INFO, "a configuration version is in force"),
     CONFIG_REFUSED(601, Severity.ERROR, "a configuration was refused"),
--- a/core/src/test/java/io/azurestage/core/retry/AllowanceTest.java
+++ b/core/src/test/java/io/azurestage/core/retry/AllowanceTest.java
@@ -15,7 +15,7 @@
 
 class AllowanceTest {
     private static final int FAN_OUT = 8;
-    private static final int DEFAULT = 3;
+    private static final int GRANTED = 3;
 
     // Guards against retries that multiply along the chain or come back twice (P1).
     @Property(seed = "31", tries = 5000)
@@ -36,27 +36,27 @@
         int spent = 0;
         for (int seed = 0; seed < 500; seed++) {
             Chain c = new Chain(seed, seed % 10 / 10.0);
-            c.call(DEFAULT, 1, 24);
+            c.call(GRANTED, 1, 24);
             deepest = Math.max(deepest, c.mDeepest);
             spent = Math.max(spent, c.mRetries);
         }
         assertThat(deepest).isEqualTo(24);
-        assertThat(spent).isEqualTo(DEFAULT);
+        assertThat(spent).isEqualTo(GRANTED);
     }
 
     // Guards against an answer that claims more unused retries than were lent.
     @Example
     void whatComesBackIsAtMostWhatWasLent() {
-        Allowance a = new Allowance(DEFAULT);
+        Allowance a = new Allowance(3);
         Loan first = a.loan();
         Loan second = a.loan();
         second.giveBack(9);
         second.giveBack(9);
         assertThat(a.left()).isEqualTo(1);
         first.giveBack(9);
-        assertThat(a.left()).isEqualTo(DEFAULT);
+        assertThat(a.left()).isEqualTo(3);
         a.giveBack(5);
-        assertThat(a.close()).isEqualTo(DEFAULT);
+        assertThat(a.close()).isEqualTo(3);
         assertThat(a.tryRetry()).isFalse();
     }
 
@@ -100,8 +100,11 @@
                 boolean failed = mRandom.nextDouble() < mLoss;
                 boolean bounced = failed && mRandom.nextBoolean();
                 int unused = bounced ? loan.retries() : call(loan.retries(), depth, maxDepth);
+                Runnable answer = () -> loan.giveBack(unused);
+                if (bounced) {
+                    answer.run();
+                }
                 if (!failed || bounced || mRandom.nextInt(4) == 0) {
-                    Runnable answer = () -> loan.giveBack(unused);
                     Collections.addAll(late, answer, answer);
                 }
                 if (!failed || !retry(a, retries, bounced)) {
--- /dev/null
+++ b/node/src/main/java/io/azurestage/node/AdminServer.java
@@ -0,0 +1,55 @@
+package io.azurestage.node;
+
+import java.io.IOException;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.component.LifeCycle;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** The HTTP server for operators. It has threads of its own, so that it answers under overload. */
+final class AdminServer {
+    private static final int MAX_THREADS = 6;
+    private static final long IDLE_TIMEOUT_MILLIS = 30_000;
+
+    private final Server mServer;
+    private final ServerConnector mConnector;
+
+    AdminServer(HostPort address) {
+        QueuedThreadPool pool = new QueuedThreadPool(MAX_THREADS, 2);
+        pool.setName("admin");
+        mServer = new Server(pool);
+        HttpConfiguration hc = new HttpConfiguration();
+        hc.setSendServerVersion(false);
+        mConnector = new ServerConnector(mServer, 1, 1, new HttpConnectionFactory(hc));
+        mConnector.setHost(address.host());
+        mConnector.setPort(address.port());
+        mConnector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+        mServer.addConnector(mConnector);
+    }
+
+    /** Opens the port; requests wait until the server is started with its handler. */
+    HostPort open() throws NodeStartException {
+        try {
+            mConnector.open();
+        } catch (IOException e) {
+            throw HttpServers.portInUse(mConnector, "admin", e);
+        }
+        return new HostPort(mConnector.getHost(), mConnector.getLocalPort());
+    }
+
+    void start(Handler handler) throws NodeStartException {
+        mServer.setHandler(handler);
+        try {
+            mServer.start();
+        } catch (Exception e) {
+            throw new NodeStartException("the admin server does not start: " + e.getMessage(), e);
+        }
+    }
+
+    void stop() {
+        LifeCycle.stop(mServer);
+    }
+}
--- a/node/src/main/java/io/azurestage/node/HttpServers.java
+++ b/node/src/main/java/io/azurestage/node/HttpServers.java
@@ -69,20 +69,24 @@
         try {
             c.open();
         } catch (IOException e) {
-            throw new NodeStartException(
-                    "cannot listen on "
-                            + setting
-                            + " address "
-                            + c.getHost()
-                            + ":"
-                            + c.getPort()
-                            + "; free the port or change "
-                            + setting
-                            + " in the settings",
-                    e);
+            throw portInUse(c, setting, e);
         }
     }
 
+    static NodeStartException portInUse(ServerConnector c, String setting, IOException e) {
+        return new NodeStartException(
+                "cannot listen on "
+                        + setting
+                        + " address "
+                        + c.getHost()
+                        + ":"
+                        + c.getPort()
+                        + "; free the port or change "
+                        + setting
+                        + " in the settings",
+                e);
+    }
+
     void stop() {
         LifeCycle.stop(mServer);
     }
