core: serve equally entitled work in order of arrival and keep a short queue

Cause: with work served by rank, requests near the fraction waited past the target and were shed although the queue as a whole was short. Change: FIFO inside one partner and class (shedding stays by rank); the target is 50 ms or two service times; the offered capacity keeps the queue at half the target; the entry raises its level when its own offered rate falls. Conclusion: FIFO is kept; adaptive LIFO is not.

--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -38,6 +38,7 @@
     private final ServiceTimes mTimes;
     private final WorkQueue mQueue;
     private final WaitBound mWaitBound;
+    private final CapacityOffer mOffer;
     private final LoanBook mLoanBook;
     private final int mSlots;
     private long mSequence;
@@ -80,6 +81,7 @@
         mTimes = new ServiceTimes(now);
         mQueue = new WorkQueue(tuning.order());
         mWaitBound = new WaitBound(tuning, slots, now);
+        mOffer = new CapacityOffer(tuning);
         mLoanBook = new LoanBook(mPartners, Objects.requireNonNull(loans, "loans"));
         mWindowStart = now;
     }
@@ -160,6 +162,7 @@
     /** Refuses queued work that waited too long and updates limits and levels. Call every 10 ms. */
     public void tick() {
         long now = mTime.nanos();
+        mOffer.observe(drainNanos(now));
         if (now - mWindowStart >= WINDOW_NANOS) {
             roll(now);
         }
@@ -313,7 +316,7 @@
     }
 
     private void refuse(Waiting w, RefusalReason reason, long now) {
-        double drain = mQueue.size() * meanNanos(now) / limit();
+        double drain = drainNanos(now);
         double fraction = fraction(w.partner(), w.classIndex());
         Duration retryAfter = RetryAfter.estimate(drain, fraction, w.work().rank());
         w.work().listener().refuse(reason, retryAfter);
@@ -331,6 +334,10 @@
         return left <= 0 || left < needed;
     }
 
+    private double drainNanos(long now) {
+        return mQueue.size() * meanNanos(now) / limit();
+    }
+
     private double meanNanos(long now) {
         return mTimes.mean(!mRunning.isEmpty(), now);
     }
@@ -342,7 +349,8 @@
         mLimit.roll(now);
         mDemand.roll(seconds);
         mPartners.dropIdle(now);
-        mFractions = mPlan.compute(limit(), limit() * mTuning.headroom(), this::demandSlots, now);
+        double capacity = mOffer.roll(limit(), mWaitBound.targetNanos(meanNanos(now)));
+        mFractions = mPlan.compute(limit(), capacity, this::demandSlots, now);
         mLoans = mLoanBook.update(limit(), now);
     }
 
--- a/core/src/main/java/io/azurestage/core/admission/ChainLevels.java
+++ b/core/src/main/java/io/azurestage/core/admission/ChainLevels.java
@@ -1,10 +1,10 @@
 package io.azurestage.core.admission;
 
 import io.azurestage.core.time.TimeSource;
-import java.util.Comparator;
-import java.util.List;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalDouble;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
@@ -16,7 +16,7 @@
     private static final int EVICTED_AT_ONCE = MAX_CHAINS / 8;
 
     private final TimeSource mTime;
-    private final ConcurrentHashMap<ChainKey, LevelEntry> mEntries = new ConcurrentHashMap<>();
+    private final ConcurrentHashMap<ChainKey, ChainState> mEntries = new ConcurrentHashMap<>();
 
     /**
      * Creates an empty table.
@@ -38,11 +38,11 @@
         mEntries.compute(
                 key,
                 (k, old) -> {
-                    LevelEntry learnt =
-                            old == null
-                                    ? LevelEntry.first(fractions, now)
-                                    : old.learn(fractions, now);
-                    return learnt.isExpired(now) ? null : learnt;
+                    ChainState state = old == null ? new ChainState(fractions, now) : old;
+                    if (old != null) {
+                        old.learn(fractions, now);
+                    }
+                    return state.isExpired(now) ? null : state;
                 });
         if (mEntries.size() > MAX_CHAINS) {
             evict(now);
@@ -56,8 +56,23 @@
      * @return a number in (0,1], 1 when nothing is known
      */
     public double fraction(ChainKey key) {
-        LevelEntry entry = mEntries.get(key);
-        return entry == null ? 1 : entry.lowest(mTime.nanos());
+        ChainState state = mEntries.get(key);
+        return state == null ? 1 : state.fraction(mTime.nanos());
+    }
+
+    /**
+     * Decides about a request at the entry of a chain and counts it. Entry nodes call this once for
+     * each request instead of {@link #fraction(ChainKey)}: the counts let the level rise as soon as
+     * a surge ends, even before the next answer.
+     *
+     * @param key the chain
+     * @param rank rank of the request in [0,1)
+     * @return the entry fraction for the request's context, empty if the request is refused
+     */
+    public OptionalDouble admit(ChainKey key, double rank) {
+        ChainState state = mEntries.get(key);
+        double fraction = state == null ? 1 : state.offer(mTime.nanos());
+        return rank < fraction ? OptionalDouble.of(fraction) : OptionalDouble.empty();
     }
 
     /**
@@ -67,8 +82,8 @@
      * @return fractions below 1 by service
      */
     public Map<String, Double> fractions(ChainKey key) {
-        LevelEntry entry = mEntries.get(key);
-        return entry == null ? Map.of() : entry.fractions(mTime.nanos());
+        ChainState state = mEntries.get(key);
+        return state == null ? Map.of() : state.fractions(mTime.nanos());
     }
 
     /**
@@ -88,15 +103,12 @@
         if (mEntries.size() <= MAX_CHAINS) {
             return;
         }
-        List<Map.Entry<ChainKey, LevelEntry>> oldest =
-                mEntries.entrySet().stream()
-                        .map(e -> Map.entry(e.getKey(), e.getValue()))
-                        .sorted(
-                                Comparator.comparingLong(
-                                        (Map.Entry<ChainKey, LevelEntry> e) ->
-                                                e.getValue().learntNanos() - now))
-                        .limit(EVICTED_AT_ONCE)
-                        .toList();
-        oldest.forEach(e -> mEntries.remove(e.getKey(), e.getValue()));
+        // Learning goes on meanwhile, so the times are read once to keep the order consistent.
+        Map<ChainKey, Long> silent = new HashMap<>();
+        mEntries.forEach((key, state) -> silent.put(key, now - state.learntNanos()));
+        silent.entrySet().stream()
+                .sorted(Map.Entry.<ChainKey, Long>comparingByValue().reversed())
+                .limit(EVICTED_AT_ONCE)
+                .forEach(e -> mEntries.remove(e.getKey()));
     }
 }
--- a/core/src/main/java/io/azurestage/core/admission/Tuning.java
+++ b/core/src/main/java/io/azurestage/core/admission/Tuning.java
@@ -9,14 +9,14 @@
  * @param order order of equally entitled work
  * @param target waiting time that a standing queue may cause
  * @param targetServiceTimes the same in mean service times; the larger of both applies
- * @param headroom capacity offered to callers, as a multiple of the estimate
+ * @param horizon time in which the fractions bring a queue to half the target; longer reacts less
  */
 record Tuning(
         boolean adaptiveLimit,
         QueueOrder order,
         Duration target,
         double targetServiceTimes,
-        double headroom) {
+        Duration horizon) {
     static final Tuning DEFAULT =
-            new Tuning(true, QueueOrder.RANK, Duration.ofMillis(20), 0.5, 1.02);
+            new Tuning(true, QueueOrder.FIFO, Duration.ofMillis(50), 2, Duration.ofMillis(500));
 }
--- a/core/src/main/java/io/azurestage/core/admission/WaitBound.java
+++ b/core/src/main/java/io/azurestage/core/admission/WaitBound.java
@@ -9,6 +9,7 @@
  */
 final class WaitBound {
     private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final double MAX_TARGET_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final int MAX_LENGTH_PER_SLOT = 4;
     private static final int MIN_LENGTH = 4;
 
@@ -29,15 +30,19 @@
         }
     }
 
-    boolean isStanding(int classIndex, long nowNanos) {
-        return nowNanos - mEmpty[classIndex] > INTERVAL_NANOS;
+    /** Returns the waiting time that a standing queue may cause, in nanoseconds. */
+    double targetNanos(double meanNanos) {
+        double target =
+                Math.max(mTuning.target().toNanos(), mTuning.targetServiceTimes() * meanNanos);
+        return Math.min(MAX_TARGET_NANOS, target);
     }
 
     /** Returns how long work of a class may wait, in nanoseconds. */
     double allowedNanos(int classIndex, double meanNanos, long nowNanos) {
-        double target =
-                Math.max(mTuning.target().toNanos(), mTuning.targetServiceTimes() * meanNanos);
-        return isStanding(classIndex, nowNanos) ? target : Math.max(target, INTERVAL_NANOS);
+        double target = targetNanos(meanNanos);
+        double interval = Math.max(INTERVAL_NANOS, target);
+        boolean standing = nowNanos - mEmpty[classIndex] > interval;
+        return standing ? target : interval;
     }
 
     /** Returns how much work may wait when work of this class is the first to be shed. */
--- /dev/null
+++ b/core/src/test/java/io/azurestage/core/admission/Surge.java
@@ -0,0 +1,87 @@
+package io.azurestage.core.admission;
+
+import io.azurestage.config.Azurestage;
+import io.azurestage.config.MeshConfig;
+import io.azurestage.config.WorkClass;
+import java.util.List;
+
+/** A surge of browsing from second 2 to 6, and the figures that the goals name. */
+record Surge(int slots, double serviceMillis, double load, Tuning tuning, boolean entry) {
+    static final double START = 2;
+    static final double END = 6;
+    static final MeshConfig SHARES =
+            Azurestage.config()
+                    .partner("a", p -> p.share(60).floor(5))
+                    .partner("b", p -> p.share(40).floor(5))
+                    .build();
+
+    /**
+     * Figures of one run.
+     *
+     * @param served work served in time over capacity
+     * @param wasted admitted work that ended past its deadline over admitted work
+     * @param critical critical requests served in time over all of them
+     * @param recoveryMillis from the end of the surge until all fractions are 1 and the queue is at
+     *     most one request per slot, both for at least 200 ms
+     * @param shedLate refused by the server's node after the first half second, over served work
+     */
+    record Figures(
+            double served,
+            double wasted,
+            double critical,
+            double recoveryMillis,
+            double shedLate) {}
+
+    Figures run(long seed) {
+        Simulation sim = new Simulation(slots, SHARES, tuning, seed);
+        sim.mEntryRefuses = entry;
+        // Half is fixed and half is exponential, as with a server that has a typical answer.
+        sim.mServiceTime = (t, n) -> (serviceMillis + sim.exponential(serviceMillis)) / 2 * 1e6;
+        double capacity = slots * 1000 / serviceMillis;
+        sim.add("a", WorkClass.CRITICAL, t -> 0.2 * capacity);
+        sim.add("b", WorkClass.CRITICAL, t -> 0.1 * capacity);
+        sim.add("b", WorkClass.NORMAL, t -> 0.2 * capacity);
+        double browsing = load - 0.5;
+        sim.add("a", WorkClass.BROWSING, t -> (t >= START && t < END ? browsing : 0.2) * capacity);
+        double[] normalSince = {Double.NaN};
+        double[] recovered = {Double.NaN};
+        sim.mOnTick =
+                () -> {
+                    double t = sim.now() / 1e9;
+                    boolean normal =
+                            sim.mController.fractions().isEmpty()
+                                    && sim.mController.queued() <= slots;
+                    if (t <= END || !normal) {
+                        normalSince[0] = Double.NaN;
+                    } else if (Double.isNaN(normalSince[0])) {
+                        normalSince[0] = t;
+                    } else if (Double.isNaN(recovered[0]) && t - normalSince[0] >= 0.2) {
+                        recovered[0] = normalSince[0];
+                    }
+                };
+        sim.run(END + 3);
+        return figures(sim, capacity, (recovered[0] - END) * 1000);
+    }
+
+    private static Figures figures(Simulation sim, double capacity, double recovery) {
+        List<Simulation.Request> all = sim.mRequests;
+        double inTime =
+                all.stream()
+                        .filter(r -> r.inTime() && r.mEnded >= START * 1e9 && r.mEnded < END * 1e9)
+                        .count();
+        double admitted = all.stream().filter(r -> r.mEnded > 0).count();
+        double late = all.stream().filter(r -> r.mEnded > 0 && !r.inTime()).count();
+        List<Simulation.Request> critical = sim.arrived(WorkClass.CRITICAL, 0, END + 1);
+        double criticalInTime = critical.stream().filter(Simulation.Request::inTime).count();
+        double shed =
+                sim.arrived(null, START + 0.5, END).stream()
+                        .filter(r -> r.mRefusal != null)
+                        .count();
+        return new Figures(
+                inTime / (capacity * (END - START)),
+                late / admitted,
+                criticalInTime / critical.size(),
+                recovery,
+                shed / inTime);
+    }
+}
