--- a/core/src/main/java/io/azurestage/core/membership/TableSync.java
+++ b/core/src/main/java/io/azurestage/core/membership/TableSync.java
@@ -21,6 +21,13 @@
     private static final long JOIN_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long SEED_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(30);
     private static final int JOIN_MEMBERS = 3;
+
+    /**
+     * A new node synchronises every second for this long. When all nodes start together, the first
+     * members it meets know as little as it does.
+     */
+    private static final long JOIN_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private static final int MAX_SYNCED = 65_536;
 
     /** Records in one message; keeps it under 1 MB. */
@@ -34,6 +41,7 @@
     private final RandomGenerator mRandom;
     private final List<String> mSeeds = new ArrayList<>();
     private final Set<String> mSynced = new HashSet<>();
+    private final long mJoinEnd;
     private long mNext;
     private long mNextSeed;
     private boolean mSoon;
@@ -42,6 +50,7 @@
         mTable = table;
         mMessenger = messenger;
         mRandom = random;
+        mJoinEnd = now + JOIN_NANOS;
         mNext = now;
         mNextSeed = now + SEED_PERIOD_NANOS;
     }
@@ -75,7 +84,7 @@
         if (now - mNext < 0) {
             return;
         }
-        boolean joining = isJoining();
+        boolean joining = isJoining() || now - mJoinEnd < 0;
         mNext =
                 now
                         + (joining
@@ -157,6 +166,10 @@
     }
 
     private String target(boolean joining) {
+        String seed = joining && mRandom.nextBoolean() ? unknownSeed() : null;
+        if (seed != null) {
+            return seed;
+        }
         Member m = mTable.randomPeer();
         for (int i = 0; joining && i < 8 && m != null && mSynced.contains(m.nodeId()); i++) {
             m = mTable.randomPeer();
@@ -164,7 +177,7 @@
         if (m != null) {
             return m.addresses().control();
         }
-        return mSeeds.isEmpty() ? null : mSeeds.get(mRandom.nextInt(mSeeds.size()));
+        return unknownSeed();
     }
 
     private String unknownSeed() {
--- a/core/src/main/java/io/azurestage/core/spread/ConfigSpread.java
+++ b/core/src/main/java/io/azurestage/core/spread/ConfigSpread.java
@@ -44,7 +44,8 @@
     private VersionId mVersion = VersionId.NONE;
     private VersionId mHighestSeen = VersionId.NONE;
     private VersionId mRequested = VersionId.NONE;
-    private VersionId mConflict = VersionId.NONE;
+    private VersionId mConflictWinner = VersionId.NONE;
+    private VersionId mConflictLoser = VersionId.NONE;
     private long mRequestedAt;
     private int mRequests;
 
@@ -197,13 +198,17 @@
                 other.number() > 0
                         && other.number() == mVersion.number()
                         && !other.changeId().equals(mVersion.changeId());
-        if (!conflict || other.equals(mConflict)) {
+        if (!conflict) {
             return;
         }
         boolean lost = other.compareTo(mVersion) > 0;
-        // After a lost conflict the loser is seen from members that are behind; it is not new.
-        mConflict = lost ? mVersion : other;
-        mListener.onConflict(lost ? other : mVersion, mConflict);
+        VersionId winner = lost ? other : mVersion;
+        VersionId loser = lost ? mVersion : other;
+        if (!winner.equals(mConflictWinner) || !loser.equals(mConflictLoser)) {
+            mConflictWinner = winner;
+            mConflictLoser = loser;
+            mListener.onConflict(winner, loser);
+        }
     }
 
     private void onHigher(VersionId shown, String sender) {
--- a/mesh/src/main/java/io/azurestage/mesh/FrameDecoder.java
+++ b/mesh/src/main/java/io/azurestage/mesh/FrameDecoder.java
@@ -31,10 +31,11 @@
             throws Exception {
         long length = peekLength(in);
         if (length > MAX_FRAME_BYTES) {
+            in.skipBytes(in.readableBytes());
             throw new TooLongFrameException("a frame of " + length + " bytes was announced");
         }
         if (length >= 0 && mReserved == 0) {
-            reserve(length);
+            reserve(length, in);
         }
         int before = out.size();
         super.decode(ctx, in, out);
@@ -49,9 +50,10 @@
         super.handlerRemoved0(ctx);
     }
 
-    private void reserve(long bytes) {
+    private void reserve(long bytes, ByteBuf in) {
         if (mPartialBytes.addAndGet(bytes) > MAX_PARTIAL_BYTES) {
             mPartialBytes.addAndGet(-bytes);
+            in.skipBytes(in.readableBytes());
             throw new TooLongFrameException("too many frames are being received at once");
         }
         mReserved = bytes;
