Publish configurations by compare-and-swap

Cause: two operators may push at the same moment, and the answer to a write may be lost. Reading back the current version alone does not settle a push that another one replaced meanwhile. Change: ConfigPublisher puts every version into the history before it replaces it, so that the history decides about a replaced push. A lost write that left the version unchanged is sent again at the same revision, because it may still be on its way. Outcomes are Accepted, Conflict, Invalid, Unknown and Unavailable; an optional base number turns a push over another version into a conflict.

--- /dev/null
+++ b/store/src/main/java/io/azurestage/store/ConfigPublisher.java
@@ -0,0 +1,98 @@
+package io.azurestage.store;
+
+import io.azurestage.config.AcceptedConfig;
+import io.azurestage.config.Azurestage;
+import io.azurestage.config.ConfigProblem;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/**
+ * Publishes configurations by compare-and-swap. Any number of publishers may push at once: the
+ * store decides on one order. Thread-safe.
+ *
+ * <p>Example:
+ *
+ * <pre>{@code
+ * ConfigPublisher publisher = new ConfigPublisher(store);
+ * PushResult result = publisher.push(Push.of(config, "asha").reported(41)).join();
+ * if (result instanceof PushResult.Accepted a) {
+ *     System.out.println("accepted as version " + a.record().number());
+ * }
+ * }</pre>
+ */
+public final class ConfigPublisher {
+    private final PlatformStore mStore;
+    private final Clock mClock;
+    private final Supplier<String> mChangeIds;
+    private final Function<Duration, CompletableFuture<Void>> mPauses;
+
+    /**
+     * Creates a publisher with the system's clock and random change ids.
+     *
+     * @param store store to publish to
+     */
+    public ConfigPublisher(PlatformStore store) {
+        this(
+                store,
+                Clock.systemUTC(),
+                () -> UUID.randomUUID().toString(),
+                ConfigPublisher::pauseOnTimer);
+    }
+
+    /**
+     * Creates a publisher.
+     *
+     * @param store store to publish to
+     * @param clock tells when a version is accepted
+     * @param changeIds returns a change id that is never used twice
+     * @param pauses returns a future that completes after the time, for pauses between attempts
+     */
+    public ConfigPublisher(
+            PlatformStore store,
+            Clock clock,
+            Supplier<String> changeIds,
+            Function<Duration, CompletableFuture<Void>> pauses) {
+        mStore = Objects.requireNonNull(store, "store");
+        mClock = Objects.requireNonNull(clock, "clock");
+        mChangeIds = Objects.requireNonNull(changeIds, "changeIds");
+        mPauses = Objects.requireNonNull(pauses, "pauses");
+    }
+
+    /**
+     * Validates and publishes a configuration. After a lost answer, the outcome is read back; this
+     * takes at most {@value PushAttempt#MAX_ATTEMPTS} attempts.
+     *
+     * @param push what to publish
+     * @return the outcome; the future never fails
+     */
+    public CompletableFuture<PushResult> push(Push push) {
+        List<ConfigProblem> problems = new ArrayList<>(Azurestage.check(push.config()));
+        if (push.author().isBlank() || push.author().length() > AcceptedConfig.MAX_AUTHOR) {
+            problems.add(
+                    new ConfigProblem(
+                            "author",
+                            "the author is empty or over "
+                                    + AcceptedConfig.MAX_AUTHOR
+                                    + " characters",
+                            "name the author"));
+        }
+        if (!problems.isEmpty()) {
+            return CompletableFuture.completedFuture(new PushResult.Invalid(List.copyOf(problems)));
+        }
+        return new PushAttempt(mStore, push, mChangeIds.get(), mClock.instant(), mPauses).run();
+    }
+
+    private static CompletableFuture<Void> pauseOnTimer(Duration pause) {
+        return CompletableFuture.runAsync(
+                () -> {},
+                CompletableFuture.delayedExecutor(pause.toMillis(), TimeUnit.MILLISECONDS));
+    }
+}
--- /dev/null
+++ b/store/src/main/java/io/azurestage/store/Push.java
@@ -0,0 +1,58 @@
+package io.azurestage.store;
+
+import io.azurestage.config.MeshConfig;
+import java.util.Objects;
+import java.util.OptionalLong;
+
+/**
+ * A configuration to publish.
+ *
+ * @param config the configuration
+ * @param author who makes the change
+ * @param reported highest version number that any node has reported, 0 if none has
+ * @param base number of the version that the change was made from; a push over any other version is
+ *     a conflict. If empty, the change replaces whatever version is current
+ */
+public record Push(MeshConfig config, String author, long reported, OptionalLong base) {
+
+    /** Checks the parts. */
+    public Push {
+        Objects.requireNonNull(config, "config");
+        Objects.requireNonNull(author, "author");
+        Objects.requireNonNull(base, "base");
+        if (reported < 0) {
+            throw new IllegalArgumentException("negative version number " + reported);
+        }
+    }
+
+    /**
+     * Starts a push over whatever version is current.
+     *
+     * @param config the configuration
+     * @param author who makes the change
+     * @return the push
+     */
+    public static Push of(MeshConfig config, String author) {
+        return new Push(config, author, 0, OptionalLong.empty());
+    }
+
+    /**
+     * Sets the highest version number that any node has reported.
+     *
+     * @param number version number, 0 if none
+     * @return a changed copy
+     */
+    public Push reported(long number) {
+        return new Push(config, author, number, base);
+    }
+
+    /**
+     * Sets the version that the change was made from.
+     *
+     * @param number version number, 0 for none
+     * @return a changed copy
+     */
+    public Push base(long number) {
+        return new Push(config, author, reported, OptionalLong.of(number));
+    }
+}
