--- a/node/src/main/java/io/azurestage/node/AdminServer.java
+++ b/node/src/main/java/io/azurestage/node/AdminServer.java
@@ -41,6 +41,7 @@
     }
 
     void start(Handler handler) throws NodeStartException {
+        mServer.setErrorHandler(new ProblemErrorHandler());
         mServer.setHandler(handler);
         try {
             mServer.start();
--- a/node/src/main/java/io/azurestage/node/HttpServers.java
+++ b/node/src/main/java/io/azurestage/node/HttpServers.java
@@ -28,6 +28,7 @@
         mServer = new Server(pool);
         mIngress = connector(mServer, s, s.ingress(), true);
         mEgress = connector(mServer, s, s.egress(), false);
+        mServer.setErrorHandler(new ProblemErrorHandler());
         mServer.setHandler(new ByConnector(mEgress, ingress, egress));
     }
 
--- /dev/null
+++ b/node/src/main/java/io/azurestage/node/ProblemErrorHandler.java
@@ -0,0 +1,47 @@
+package io.azurestage.node;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.handler.ErrorHandler;
+import org.eclipse.jetty.util.Callback;
+
+/** Gives errors that the HTTP server finds itself, such as a header flood, the form of refusals. */
+final class ProblemErrorHandler extends ErrorHandler {
+
+    @Override
+    protected void generateResponse(
+            Request request,
+            Response response,
+            int code,
+            String message,
+            Throwable cause,
+            Callback callback) {
+        byte[] body = body(code, message);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, Refusal.CONTENT_TYPE);
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    @Override
+    public ByteBuffer badMessageError(int status, String reason, HttpFields.Mutable fields) {
+        fields.put(HttpHeader.CONTENT_TYPE, Refusal.CONTENT_TYPE);
+        return ByteBuffer.wrap(body(status, reason));
+    }
+
+    private static byte[] body(int code, String message) {
+        String reason = message == null ? HttpStatus.getMessage(code) : message;
+        boolean callersFault = HttpStatus.isClientError(code);
+        Refusal r =
+                new Refusal(
+                        callersFault ? RefusalKind.BAD_REQUEST : RefusalKind.BROKEN_ANSWER,
+                        callersFault ? Ran.NOT_RUN : Ran.UNKNOWN,
+                        Duration.ZERO,
+                        reason);
+        return r.json(code, "");
+    }
+}
--- a/node/src/main/java/io/azurestage/node/Refusal.java
+++ b/node/src/main/java/io/azurestage/node/Refusal.java
@@ -38,10 +38,14 @@
     }
 
     byte[] json(String requestId) {
+        return json(kind.status(), requestId);
+    }
+
+    byte[] json(int status, String requestId) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("type", TYPE_PREFIX + kind.text());
         m.put("title", kind.text().replace('-', ' '));
-        m.put("status", kind.status());
+        m.put("status", status);
         m.put("detail", detail);
         m.put("kind", kind.text());
         m.put("ran", ran.text());
--- a/node/src/test/java/io/azurestage/node/TestMesh.java
+++ b/node/src/test/java/io/azurestage/node/TestMesh.java
@@ -84,12 +84,18 @@
 
     static NodeSettings settings(String nodeId, String service, HostPort backend)
             throws SettingsException {
+        return settings(nodeId, service, backend, 0);
+    }
+
+    static NodeSettings settings(String nodeId, String service, HostPort backend, int ingress)
+            throws SettingsException {
         String any = "{\"host\":\"127.0.0.1\",\"port\":0}";
         return SettingsLoader.parse(
                 """
                 {"nodeId":"%s","service":"%s","dataCentre":"dc1","region":"r1","slots":8,
                  "connectionLimit":32,"backend":{"host":"%s","port":%d},
-                 "ingress":%s,"egress":%s,"control":%s,"admin":%s,
+                 "ingress":{"host":"127.0.0.1","port":%d},
+                 "egress":%s,"control":%s,"admin":%s,
                  "meshKey":"000102030405060708090a0b0c0d0e0f","store":[%s]}
                 """
                         .formatted(
@@ -97,7 +103,7 @@
                                 service,
                                 backend.host(),
                                 backend.port(),
-                                any,
+                                ingress,
                                 any,
                                 any,
                                 any,
