Do not count a passed-on refusal against the server that passes it on

Its backend servers pass on the refusals of deeper services with status 503, which admission took for their own overload. Change: a refusal of ours in an answer counts as an answer.

--- a/node/src/main/java/io/azurestage/node/OwnerRun.java
+++ b/node/src/main/java/io/azurestage/node/OwnerRun.java
@@ -141,9 +141,11 @@
 
     @Override
     public void whole(Response r, byte[] body) {
-        boolean shed = r.getStatus() == HttpStatus.SERVICE_UNAVAILABLE_503;
+        // A refusal from below that the server passes on says nothing about its own load.
+        boolean passedOn = isRefusal(r, body);
+        boolean shed = !passedOn && r.getStatus() == HttpStatus.SERVICE_UNAVAILABLE_503;
         complete(shed ? Completion.Outcome.SERVER_REFUSED : Completion.Outcome.ANSWERED);
-        if (isRefusal(r, body)) {
+        if (passedOn) {
             mSink.refuse(
                     Refusal.unknown(
                             RefusalKind.DEPENDENCY_FAILED,
