Route by own requests in flight, and bound what reports can move

Cause: the placeholder router chose at random by scanning all endpoints, and ignored results, distance, age and failures. Change: index by service; two random choices per distance, weighted by own in-flight count and, by a factor of at most 3.4, by the aged reported load; a farther data centre is chosen if the expected wait costs more than crossing; slow start by the local clock; ejection after 5 consecutive failures or half of at least 20 attempts, for 1 s doubling to 60 s, keeping half of the servers; a server that refuses as draining gets no new work at once; only the newest known incarnation of a node id is used. pick takes no lock. Conclusion: a false report leaves a server between 0.4 and 1.6 of its fair part within a data centre, and at least 0.1 where another data centre is at hand.

--- a/core/src/main/java/io/azurestage/core/routing/Router.java
+++ b/core/src/main/java/io/azurestage/core/routing/Router.java
@@ -2,67 +2,129 @@
 
 import io.azurestage.core.context.NodeIdentity;
 import io.azurestage.core.time.TimeSource;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 
-/** Chooses a backend server for each attempt. Thread-safe. */
+/**
+ * Chooses a backend server for each attempt. Thread-safe; {@link #pick} takes no lock.
+ *
+ * <p>Two random servers of each distance are compared, mostly by this node's own requests in flight
+ * and to a bounded extent by the load that servers report. A farther server is chosen if the
+ * expected wait at the nearer one costs more than the way.
+ */
 public final class Router {
+    private record Table(Map<String, ServiceState> services, Map<NodeIdentity, Server> servers) {}
+
+    private final RoutingSettings mSettings;
+    private final EjectionListener mListener;
+    private final TimeSource mTime;
     private final RandomGenerator mRandom;
-    private volatile List<Endpoint> mEndpoints = List.of();
+    private final Tiers mTiers;
+    private final Incarnations mIncarnations = new Incarnations();
+    private final long mStart;
+    private volatile Table mTable = new Table(Map.of(), Map.of());
 
     /**
-     * Creates a router that knows no backend server yet.
+     * Creates a router with default settings that knows no backend server yet.
      *
      * @param dataCentre data centre of this node
      * @param region region of this node
      * @param time source of time
-     * @param random source of random choices
+     * @param random source of random choices, thread-safe if the router is shared by threads
      */
     public Router(String dataCentre, String region, TimeSource time, RandomGenerator random) {
+        this(dataCentre, region, RoutingSettings.defaults(), EjectionListener.NONE, time, random);
+    }
+
+    /**
+     * Creates a router that knows no backend server yet.
+     *
+     * @param dataCentre data centre of this node
+     * @param region region of this node
+     * @param settings costs and warm-up
+     * @param listener hears of ejections and restorations
+     * @param time source of time
+     * @param random source of random choices, thread-safe if the router is shared by threads
+     */
+    public Router(
+            String dataCentre,
+            String region,
+            RoutingSettings settings,
+            EjectionListener listener,
+            TimeSource time,
+            RandomGenerator random) {
+        mSettings = settings;
+        mListener = listener;
+        mTime = time;
         mRandom = random;
+        mTiers = new Tiers(dataCentre, region, settings);
+        mStart = time.nanos();
     }
 
     /**
-     * Replaces the known backend servers. What was learnt about those that stay is kept.
+     * Replaces the known backend servers. What was learnt about those that stay is kept. Of several
+     * incarnations of one node id, only the newest ever known is used.
      *
      * @param endpoints all backend servers that are alive
      */
-    public void update(List<Endpoint> endpoints) {
-        mEndpoints = List.copyOf(endpoints);
+    public synchronized void update(List<Endpoint> endpoints) {
+        long now = now();
+        Instant wall = mTime.now();
+        mIncarnations.learn(endpoints, now);
+        Map<NodeIdentity, Server> servers = new HashMap<>();
+        for (Endpoint e : endpoints) {
+            if (mIncarnations.isNewest(e)) {
+                servers.put(e.node(), server(e, wall, now));
+            }
+        }
+        Map<String, List<Server>> grouped = new HashMap<>();
+        for (Server s : servers.values()) {
+            grouped.computeIfAbsent(s.mEndpoint.service(), k -> new ArrayList<>()).add(s);
+        }
+        Map<String, ServiceState> services = new HashMap<>();
+        grouped.forEach((name, list) -> services.put(name, service(name)));
+        grouped.forEach((name, list) -> services.get(name).update(list, now));
+        mTable = new Table(services, servers);
     }
 
     /**
-     * Chooses a backend server.
+     * Chooses a backend server. Ejected servers are chosen only if no other is left.
      *
      * @param service service to call
      * @param exclude incarnations that this request must not be sent to again
      * @return the choice, or empty if no backend server is left
      */
     public Optional<Pick> pick(String service, Set<NodeIdentity> exclude) {
-        List<Endpoint> open =
-                mEndpoints.stream()
-                        .filter(e -> e.service().equals(service))
-                        .filter(e -> e.state() != Endpoint.State.DRAINING)
-                        .filter(e -> !exclude.contains(e.node()))
-                        .toList();
-        return open.isEmpty()
-                ? Optional.empty()
-                : Optional.of(new SimplePick(open.get(mRandom.nextInt(open.size()))));
+        ServiceState s = mTable.services.get(service);
+        if (s == null) {
+            return Optional.empty();
+        }
+        // One draw from the shared source per pick keeps threads from competing for it.
+        SplittableRandom random = new SplittableRandom(mRandom.nextLong());
+        return s.choose(exclude, random, now()).map(x -> new ServerPick(x, s, this::now));
     }
 
     /**
      * Finds one incarnation, for a request whose ticket names it.
      *
      * @param node the incarnation
-     * @return the backend server, draining or not, or empty if it is not alive
+     * @return the backend server, draining or ejected or neither, or empty if it is not alive or a
+     *     newer incarnation is known
      */
     public Optional<Pick> find(NodeIdentity node) {
-        return mEndpoints.stream()
-                .filter(e -> e.node().equals(node))
-                .findFirst()
-                .map(SimplePick::new);
+        Table t = mTable;
+        Server s = t.servers.get(node);
+        return s == null
+                ? Optional.empty()
+                : Optional.of(new ServerPick(s, t.services.get(s.mEndpoint.service()), this::now));
     }
 
     /**
@@ -72,11 +134,25 @@
      * @return true if one is alive, draining or not
      */
     public boolean knows(String service) {
-        return mEndpoints.stream().anyMatch(e -> e.service().equals(service));
+        return mTable.services.containsKey(service);
+    }
+
+    private Server server(Endpoint e, Instant wall, long now) {
+        Server known = mTable.servers.get(e.node());
+        if (known == null || !known.mEndpoint.service().equals(e.service())) {
+            Duration age = Duration.between(Instant.ofEpochMilli(e.startedAtMillis()), wall);
+            return new Server(e, age, mSettings.warmUp(), now);
+        }
+        known.mEndpoint = e;
+        return known;
+    }
+
+    private ServiceState service(String name) {
+        ServiceState known = mTable.services.get(name);
+        return known != null ? known : new ServiceState(mTiers, mListener);
     }
 
-    private record SimplePick(Endpoint endpoint) implements Pick {
-        @Override
-        public void done(AttemptResult result, long latencyNanos, double load) {}
+    private long now() {
+        return mTime.nanos() - mStart;
     }
 }
--- /dev/null
+++ b/core/src/test/java/io/azurestage/core/routing/RouterTest.java
@@ -0,0 +1,242 @@
+package io.azurestage.core.routing;
+
+import static io.azurestage.core.routing.AttemptResult.ANSWERED;
+import static io.azurestage.core.routing.AttemptResult.DRAINING;
+import static io.azurestage.core.routing.AttemptResult.FAILED;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.core.context.NodeIdentity;
+import io.azurestage.core.time.ManualTimeSource;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+
+class RouterTest {
+    private static final RoutingSettings SETTINGS = RoutingSettings.defaults();
+    private static final long LATENCY = Duration.ofMillis(20).toNanos();
+
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final Set<NodeIdentity> mEjected = new HashSet<>();
+    private final EjectionListener mListener =
+            new EjectionListener() {
+                @Override
+                public void onEjected(Endpoint e, Duration howLong, String reason) {
+                    assertThat(mEjected.add(e.node())).isTrue();
+                }
+
+                @Override
+                public void onRestored(Endpoint e) {
+                    assertThat(mEjected.remove(e.node())).isTrue();
+                }
+            };
+
+    // Guards against work for draining, excluded, gone or replaced servers, against a service
+    // without servers while some are usable, and against more than half of them ejected.
+    @Property(seed = "41", tries = 1000)
+    void picksOnlyUsableServersAndKeepsHalf(@ForAll long seed) {
+        Random random = new Random(seed);
+        mEjected.clear();
+        Router r = router(random);
+        Map<String, Long> newest = new HashMap<>();
+        List<Endpoint> known = List.of();
+        for (int i = 0; i < 200; i++) {
+            if (i % 20 == 0) {
+                known = randomEndpoints(random);
+                r.update(known);
+                known.forEach(
+                        e -> newest.merge(e.node().nodeId(), e.node().incarnation(), Math::max));
+                known =
+                        known.stream()
+                                .filter(
+                                        e ->
+                                                newest.get(e.node().nodeId())
+                                                        == e.node().incarnation())
+                                .toList();
+                mEjected.retainAll(open(known).stream().map(Endpoint::node).toList());
+            }
+            List<Endpoint> usable = new ArrayList<>(open(known));
+            Set<NodeIdentity> exclude = new HashSet<>();
+            known.stream().filter(e -> random.nextInt(4) == 0).forEach(e -> exclude.add(e.node()));
+            usable.removeIf(e -> exclude.contains(e.node()));
+            Optional<Pick> p = r.pick("desk", exclude);
+            assertThat(p.isPresent()).isEqualTo(!usable.isEmpty());
+            p.ifPresent(x -> assertThat(usable).contains(x.endpoint()));
+            p.ifPresent(x -> x.done(random.nextInt(4) > 0 ? FAILED : ANSWERED, LATENCY, -1));
+            assertThat(mEjected.size() * 2).isLessThanOrEqualTo(open(known).size());
+            mTime.advance(Duration.ofMillis(random.nextInt(300)));
+            for (Endpoint e : known) {
+                assertThat(r.find(e.node())).isPresent();
+            }
+        }
+    }
+
+    // Guards against a server that attracts or starves itself by the load it reports. With another
+    // data centre at hand, one pick in four ignores the report, hence a quarter of the lower bound.
+    @Property(seed = "42", tries = 100)
+    void aFalseReportMovesABoundedPartOfTheTraffic(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 2, max = 8) int servers,
+            @ForAll @IntRange(min = 1, max = 60) int concurrency,
+            @ForAll @DoubleRange(max = 5) double honest,
+            @ForAll @DoubleRange(max = 100) double lie,
+            @ForAll boolean elsewhere) {
+        Random random = new Random(seed);
+        Router r = router(random);
+        List<Endpoint> all = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            all.add(endpoint("n" + i, 1, "dc-1", 0));
+        }
+        if (elsewhere) {
+            all.add(endpoint("elsewhere", 1, "dc-2", 0));
+        }
+        r.update(all);
+        int lying = 0;
+        List<Pick> running = new ArrayList<>();
+        int picks = 8000;
+        for (int i = 0; i < picks; i++) {
+            running.add(r.pick("desk", Set.of()).orElseThrow());
+            if (running.size() >= concurrency) {
+                Pick p = running.remove(random.nextInt(running.size()));
+                boolean liar = p.endpoint().node().nodeId().equals("n0");
+                lying += liar ? 1 : 0;
+                p.done(ANSWERED, LATENCY, liar ? lie : honest);
+            }
+            mTime.advance(Duration.ofMillis(1));
+        }
+        assertThat((double) lying * servers / picks).isBetween(elsewhere ? 0.1 : 0.4, 1.6);
+    }
+
+    // Guards against needless crossings, and against a nearer data centre that is overrun.
+    @Property(seed = "43", tries = 50)
+    void staysInTheDataCentreUntilWaitingCostsMoreThanCrossing(@ForAll long seed) {
+        for (String away : List.of("dc-2", "far")) {
+            Router r = router(new Random(seed));
+            r.update(List.of(endpoint("near", 1, "dc-1", 0), endpoint("away", 1, away, 0)));
+            assertThat(crossings(r, 0.7, Duration.ofMillis(20))).isZero();
+            int crossed = crossings(r, 1.2, Duration.ofMillis(20));
+            if (away.equals("far")) {
+                assertThat(crossed).isZero();
+            } else {
+                assertThat(crossed).isBetween(100, 190);
+            }
+        }
+    }
+
+    // Guards against full load on a cold server, and against a wrong clock that keeps it cold.
+    @Property(seed = "44", tries = 50)
+    void aYoungServerGetsAGrowingPart(
+            @ForAll long seed, @ForAll @IntRange(max = 1_000_000) int clockAhead) {
+        Router r = router(new Random(seed));
+        long started = mTime.now().plusMillis(clockAhead).toEpochMilli();
+        r.update(List.of(endpoint("old", 1, "dc-1", 0), endpoint("young", 1, "dc-1", started)));
+        int cold = picksOf(r, "young", 1000);
+        mTime.advance(SETTINGS.warmUp().dividedBy(2));
+        int half = picksOf(r, "young", 1000);
+        mTime.advance(SETTINGS.warmUp().dividedBy(2));
+        assertThat(cold).isLessThan(170);
+        assertThat(half).isBetween(250, 420);
+        assertThat(picksOf(r, "young", 1000)).isBetween(430, 570);
+    }
+
+    // Guards against a broken server that is tried again and again, or is never tried again.
+    @Example
+    void ejectionsGrowAndEndAndSurviveUpdates() {
+        Router r = router(new Random(1));
+        Endpoint bad = endpoint("bad", 1, "dc-1", 0);
+        List<Endpoint> all = List.of(bad, endpoint("good", 1, "dc-1", 0));
+        r.update(all);
+        for (int seconds : new int[] {1, 2, 4}) {
+            for (int i = 0; i < FailureWindow.MAX_CONSECUTIVE; i++) {
+                r.find(bad.node()).orElseThrow().done(FAILED, LATENCY, -1);
+            }
+            r.update(all);
+            mTime.advance(Duration.ofSeconds(seconds).minusNanos(1));
+            assertThat(picksOf(r, "bad", 100)).isZero();
+            mTime.advance(Duration.ofNanos(1));
+            assertThat(picksOf(r, "bad", 100)).isPositive();
+        }
+        mTime.advance(Duration.ofSeconds(10));
+        for (int i = 0; i < FailureWindow.MIN_ATTEMPTS; i++) {
+            r.find(bad.node()).orElseThrow().done(i % 2 > 0 ? FAILED : ANSWERED, LATENCY, -1);
+        }
+        assertThat(mEjected).as("half of the attempts failed").containsExactly(bad.node());
+        r.update(all.subList(1, 2));
+        mEjected.clear();
+        r.update(all);
+        assertThat(picksOf(r, "bad", 100)).as("state of a server that was gone").isPositive();
+    }
+
+    // Guards against new work for a server that refuses as draining before membership says so.
+    @Example
+    void aServerThatRefusesAsDrainingGetsNoNewWork() {
+        Router r = router(new Random(1));
+        r.update(List.of(endpoint("a", 1, "dc-1", 0), endpoint("b", 1, "dc-1", 0)));
+        NodeIdentity a = new NodeIdentity("a", 1);
+        r.find(a).orElseThrow().done(DRAINING, LATENCY, -1);
+        assertThat(picksOf(r, "a", 100)).isZero();
+        assertThat(r.find(a)).isPresent();
+    }
+
+    private Router router(Random random) {
+        return new Router("dc-1", "r-1", SETTINGS, mListener, mTime, random);
+    }
+
+    private static int picksOf(Router r, String nodeId, int picks) {
+        int n = 0;
+        for (int i = 0; i < picks; i++) {
+            Pick p = r.pick("desk", Set.of()).orElseThrow();
+            n += p.endpoint().node().nodeId().equals(nodeId) ? 1 : 0;
+            p.done(ANSWERED, LATENCY, -1);
+        }
+        return n;
+    }
+
+    private static int crossings(Router r, double nearLoad, Duration latency) {
+        int n = 0;
+        for (int i = 0; i < 200; i++) {
+            r.find(new NodeIdentity("near", 1))
+                    .orElseThrow()
+                    .done(ANSWERED, latency.toNanos(), nearLoad);
+            n += picksOf(r, "away", 1);
+        }
+        return n;
+    }
+
+    private static List<Endpoint> randomEndpoints(Random random) {
+        List<Endpoint> all = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            Endpoint e = endpoint("n" + i, random.nextInt(3), "dc-" + random.nextInt(1, 3), 0);
+            if (random.nextInt(4) > 0) {
+                all.add(random.nextInt(5) > 0 ? e : in(e, Endpoint.State.DRAINING));
+            }
+        }
+        return all;
+    }
+
+    private static Endpoint endpoint(String id, long incarnation, String dataCentre, long start) {
+        NodeIdentity node = new NodeIdentity(id, incarnation);
+        String region = dataCentre.equals("far") ? "r-2" : "r-1";
+        Endpoint.State state = Endpoint.State.SERVING;
+        return new Endpoint(node, "desk", "10.0.0.1:80", dataCentre, region, 130, state, start);
+    }
+
+    private static Endpoint in(Endpoint e, Endpoint.State state) {
+        return new Endpoint(
+                e.node(), "desk", e.address(), e.dataCentre(), e.region(), 130, state, 0);
+    }
+
+    private static List<Endpoint> open(List<Endpoint> all) {
+        return all.stream().filter(e -> e.state() != Endpoint.State.DRAINING).toList();
+    }
+}
