--- a/core/src/main/java/io/azurestage/core/once/OnceRegistry.java
+++ b/core/src/main/java/io/azurestage/core/once/OnceRegistry.java
@@ -165,6 +165,7 @@
      * @return at most twice the bound on entries
      */
     public synchronized int size() {
+        forgetExpired();
         return mEntries.size();
     }
 
@@ -174,6 +175,7 @@
      * @return bytes, at most the bound on bytes
      */
     public synchronized long storedBytes() {
+        forgetExpired();
         return mSpace.stored();
     }
 
