Keep a status of 401 visible and shorten lost-connection messages

Cause: Jetty's client fails a 401 without a challenge as a protocol violation, so that a wrong operator token looks like a node that does not answer. Its message for a closed connection is a dump of 900 characters. Change: the handler of challenges is removed from the clients, and a closed connection is reported in four words. Conclusion: the status reaches the caller.

--- a/store/src/main/java/io/azurestage/store/EtcdHttp.java
+++ b/store/src/main/java/io/azurestage/store/EtcdHttp.java
@@ -1,5 +1,6 @@
 package io.azurestage.store;
 
+import java.io.EOFException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -15,6 +16,7 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.WWWAuthenticationProtocolHandler;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -54,6 +56,8 @@
         mClient.setFollowRedirects(false);
         try {
             mClient.start();
+            // This handler fails a 401 that has no challenge and so hides the status.
+            mClient.getProtocolHandlers().remove(WWWAuthenticationProtocolHandler.NAME);
         } catch (Exception e) {
             throw new IllegalStateException("HTTP client does not start: " + e.getMessage(), e);
         }
@@ -168,6 +172,10 @@
     }
 
     static String describe(Throwable t) {
+        if (t instanceof EOFException) {
+            // The client's message is a dump of its connection's state.
+            return "the connection was closed";
+        }
         return t.getMessage() == null ? t.getClass().getSimpleName() : t.getMessage();
     }
 
