Add the operators' command-line tool

Cause: operators can neither publish a configuration nor see what nodes do. A push asks up to three nodes of each data centre for their highest number, hands the accepted version to as many, and follows it for 4 s. Conclusion: the tool works against the stand-in store and stand-in admin endpoints; it has not yet met a real node.

--- /dev/null
+++ b/cli/src/main/java/io/azurestage/cli/Cli.java
@@ -0,0 +1,127 @@
+package io.azurestage.cli;
+
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** Selects and runs a command. */
+final class Cli {
+    private final CliContext mContext;
+    private final List<Command> mCommands =
+            List.of(
+                    new ConfigPrintCommand(),
+                    new ConfigCheckCommand(),
+                    new ConfigDiffCommand(),
+                    new ConfigPushCommand(),
+                    new ConfigShowCommand(),
+                    new ConfigHistoryCommand(),
+                    new StatusCommand(),
+                    new TimelineCommand(),
+                    new DrainCommand(),
+                    new CompletionCommand(this::commands));
+
+    Cli(CliContext context) {
+        mContext = context;
+    }
+
+    private List<Command> commands() {
+        return mCommands;
+    }
+
+    /** Runs a command line. Every failure ends in an exit code and one line. */
+    ExitCode run(String... args) {
+        try {
+            return dispatch(args);
+        } catch (CliException e) {
+            mContext.note(oneLine(e.getMessage()));
+            return e.code();
+        } catch (RuntimeException e) {
+            mContext.note(
+                    oneLine("internal error: " + e) + "; report it, and see azurestage status");
+            return ExitCode.UNKNOWN;
+        }
+    }
+
+    private static String oneLine(String text) {
+        return text.replaceAll("\\s*\\R\\s*", " ");
+    }
+
+    private ExitCode dispatch(String[] args) {
+        if (args.length == 0 || "--help".equals(args[0]) || "help".equals(args[0])) {
+            overview(args.length == 0 ? mContext.err() : mContext.out());
+            return args.length == 0 ? ExitCode.BAD_INPUT : ExitCode.DONE;
+        }
+        int words = "config".equals(args[0]) && args.length > 1 ? 2 : 1;
+        String name = String.join(" ", Arrays.asList(args).subList(0, words));
+        if ("config --help".equals(name)) {
+            overview(mContext.out());
+            return ExitCode.DONE;
+        }
+        Optional<Command> command =
+                mCommands.stream().filter(c -> c.name().equals(name)).findFirst();
+        if (command.isEmpty()) {
+            throw Args.bad("there is no command '" + name + "'", "see azurestage --help");
+        }
+        return run(command.get(), Arrays.copyOfRange(args, words, args.length));
+    }
+
+    private ExitCode run(Command command, String[] args) {
+        Options options = command.options();
+        options.addOption(null, Flags.JSON, false, "print the result as JSON");
+        options.addOption(null, Flags.HELP, false, "print this help");
+        if (Arrays.asList(args).contains("--help")) {
+            help(command, options);
+            return ExitCode.DONE;
+        }
+        CommandLine line;
+        try {
+            line =
+                    DefaultParser.builder()
+                            .setAllowPartialMatching(false)
+                            .get()
+                            .parse(options, args);
+        } catch (ParseException e) {
+            throw Args.bad(e.getMessage(), "see azurestage " + command.name() + " --help");
+        }
+        return command.run(new Args(line), mContext);
+    }
+
+    private void overview(PrintStream out) {
+        out.println("usage: azurestage COMMAND [OPTIONS]");
+        out.println();
+        mCommands.forEach(c -> out.printf("  %-16s %s%n", c.name(), c.summary()));
+        out.println();
+        exitCodes(out);
+        out.println("Each command has an example: azurestage COMMAND --help");
+    }
+
+    private void help(Command command, Options options) {
+        PrintStream out = mContext.out();
+        out.println(
+                ("usage: azurestage " + command.name() + " " + command.arguments()).strip()
+                        + " [OPTIONS]");
+        out.println(command.summary());
+        out.println();
+        for (Option o : options.getOptions()) {
+            String argument = o.hasArg() ? " " + o.getArgName() : "";
+            out.printf("  %-24s %s%n", "--" + o.getLongOpt() + argument, o.getDescription());
+        }
+        out.println();
+        out.println("example: " + command.example());
+        out.println();
+        exitCodes(out);
+    }
+
+    private static void exitCodes(PrintStream out) {
+        out.println("exit codes:");
+        for (ExitCode c : ExitCode.values()) {
+            out.println("  " + c.number() + "  " + c.meaning());
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/azurestage/cli/ConfigShowCommand.java
@@ -0,0 +1,59 @@
+package io.azurestage.cli;
+
+import io.azurestage.config.AcceptedConfig;
+import io.azurestage.store.PlatformStore;
+import org.apache.commons.cli.Options;
+
+/** Prints a version of the configuration. */
+final class ConfigShowCommand implements Command {
+    @Override
+    public String name() {
+        return "config show";
+    }
+
+    @Override
+    public String arguments() {
+        return "";
+    }
+
+    @Override
+    public String summary() {
+        return "print the configuration in the store; --json adds number, author and time";
+    }
+
+    @Override
+    public String example() {
+        return "azurestage config show --store 10.0.0.5:2379 --number 41 > mesh.json";
+    }
+
+    @Override
+    public Options options() {
+        return Flags.store(new Options())
+                .addOption(Flags.value(Flags.NUMBER, "N", "version, the current one by default"));
+    }
+
+    @Override
+    public ExitCode run(Args args, CliContext context) {
+        args.operands(0, 0);
+        try (PlatformStore store = Versions.open(args, context)) {
+            Versions versions = new Versions(store);
+            AcceptedConfig record =
+                    args.number(Flags.NUMBER).map(versions::numbered).orElseGet(versions::current);
+            if (args.json()) {
+                Json.print(context, Json.tree(record));
+                return ExitCode.DONE;
+            }
+            context.out().print(record.config().toJson());
+            context.note(
+                    "version "
+                            + record.number()
+                            + " of "
+                            + record.acceptedAt()
+                            + " by "
+                            + record.author()
+                            + ", change "
+                            + record.changeId());
+            return ExitCode.DONE;
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/azurestage/cli/DrainCommand.java
@@ -0,0 +1,73 @@
+package io.azurestage.cli;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.cli.Options;
+
+/** Starts draining one node. */
+final class DrainCommand implements Command {
+    @Override
+    public String name() {
+        return "drain";
+    }
+
+    @Override
+    public String arguments() {
+        return "";
+    }
+
+    @Override
+    public String summary() {
+        return "start draining one node: it takes no new work and finishes what it has";
+    }
+
+    @Override
+    public String example() {
+        return "azurestage drain --node 10.0.1.7:9090 --node-id bookings-3 --token-file token";
+    }
+
+    @Override
+    public Options options() {
+        return Flags.token(Flags.node(new Options()))
+                .addOption(
+                        Flags.value(
+                                Flags.NODE_ID, "ID", "node to drain, the one --node by default"));
+    }
+
+    @Override
+    public ExitCode run(Args args, CliContext context) {
+        args.operands(0, 0);
+        String token = args.token(context);
+        try (Fleet fleet = Fleet.discover(args)) {
+            NodeRef node = target(fleet, args);
+            Map<NodeRef, NodeAnswer> answers =
+                    fleet.post(List.of(node), "/azurestage/v1/drain", "", token);
+            NodeAnswer answer = answers.get(node);
+            if (!answer.isOk()) {
+                throw new CliException(
+                        answer.status() == 0 ? ExitCode.UNKNOWN : ExitCode.NEGATIVE,
+                        "node " + node.nodeId() + " " + answer.fault(),
+                        "check the token, then see azurestage status and drain again");
+            }
+            if (args.json()) {
+                Json.print(context, Json.object().put("nodeId", node.nodeId()).put("drain", true));
+            } else {
+                context.out().println("node " + node.nodeId() + " drains");
+            }
+            return ExitCode.DONE;
+        }
+    }
+
+    private static NodeRef target(Fleet fleet, Args args) {
+        Optional<String> id = args.text(Flags.NODE_ID);
+        if (id.isEmpty() && args.nodes().size() > 1) {
+            throw Args.bad("several nodes are named", "name the node to drain with --node-id");
+        }
+        String wanted = id.orElseGet(() -> args.nodes().get(0));
+        return fleet.nodes().stream()
+                .filter(n -> wanted.equals(id.isPresent() ? n.nodeId() : n.admin()))
+                .findFirst()
+                .orElseThrow(() -> Args.bad("there is no node " + wanted, "see azurestage status"));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/azurestage/cli/NodeClient.java
@@ -0,0 +1,105 @@
+package io.azurestage.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.EOFException;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.client.WWWAuthenticationProtocolHandler;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+
+/** Calls admin endpoints of nodes. */
+final class NodeClient implements AutoCloseable {
+    /** Covers a status with over ten thousand members, and a full ring of events. */
+    private static final int MAX_ANSWER_BYTES = 32 << 20;
+
+    private static final int THREADS = 8;
+
+    private final HttpClient mClient = new HttpClient();
+    private final Duration mTimeout;
+
+    NodeClient(Duration timeout) {
+        mTimeout = timeout;
+        QueuedThreadPool threads = new QueuedThreadPool(THREADS, 1);
+        threads.setDaemon(true);
+        threads.setReservedThreads(0);
+        mClient.setExecutor(threads);
+        mClient.setScheduler(new ScheduledExecutorScheduler("azurestage-cli-timer", true));
+        mClient.setConnectTimeout(timeout.toMillis());
+        mClient.setFollowRedirects(false);
+        try {
+            mClient.start();
+            // This handler fails a 401 that has no challenge and so hides the status.
+            mClient.getProtocolHandlers().remove(WWWAuthenticationProtocolHandler.NAME);
+        } catch (Exception e) {
+            throw new IllegalStateException("HTTP client does not start: " + e.getMessage(), e);
+        }
+    }
+
+    CompletableFuture<NodeAnswer> get(String address, String path) {
+        return send(mClient.newRequest("http://" + address + path));
+    }
+
+    CompletableFuture<NodeAnswer> post(String address, String path, String body, String token) {
+        return send(
+                mClient.POST("http://" + address + path)
+                        .headers(h -> h.put("Authorization", "Bearer " + token))
+                        .body(new StringRequestContent("application/json", body)));
+    }
+
+    private CompletableFuture<NodeAnswer> send(Request request) {
+        CompletableFuture<NodeAnswer> done = new CompletableFuture<>();
+        request.timeout(mTimeout.toMillis(), TimeUnit.MILLISECONDS)
+                .send(
+                        new BufferingResponseListener(MAX_ANSWER_BYTES) {
+                            @Override
+                            public void onComplete(Result result) {
+                                done.complete(answer(result, getContent()));
+                            }
+                        });
+        return done;
+    }
+
+    private static NodeAnswer answer(Result result, byte[] content) {
+        if (result.isFailed()) {
+            String reason = describe(result.getFailure());
+            return new NodeAnswer(0, MissingNode.getInstance(), "did not answer: " + reason);
+        }
+        int status = result.getResponse().getStatus();
+        if (content == null || content.length == 0) {
+            return new NodeAnswer(status, MissingNode.getInstance(), "");
+        }
+        try {
+            JsonNode body = Json.MAPPER.readTree(content);
+            return new NodeAnswer(status, body, "");
+        } catch (IOException e) {
+            return new NodeAnswer(0, MissingNode.getInstance(), "did not answer in JSON");
+        }
+    }
+
+    private static String describe(Throwable t) {
+        if (t instanceof EOFException) {
+            // The client's message is a dump of its connection's state.
+            return "the connection was closed";
+        }
+        return Optional.ofNullable(t.getMessage()).orElse(t.getClass().getSimpleName());
+    }
+
+    @Override
+    public void close() {
+        try {
+            mClient.stop();
+        } catch (Exception e) {
+            throw new IllegalStateException("HTTP client does not stop: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/azurestage/cli/Rollout.java
@@ -0,0 +1,82 @@
+package io.azurestage.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.azurestage.config.AcceptedConfig;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+
+/** Hands an accepted version to nodes and counts where it is in force. */
+final class Rollout {
+    /** Several in each data centre, so that one failed node does not delay the spread. */
+    static final int NODES_OF_EACH_DATA_CENTRE = 3;
+
+    /** An accepted version is in force everywhere within this time. */
+    static final Duration LIMIT = Duration.ofSeconds(4);
+
+    private static final Duration PAUSE = Duration.ofMillis(100);
+
+    private final Fleet mFleet;
+    private final CliContext mContext;
+
+    Rollout(Fleet fleet, CliContext context) {
+        mFleet = fleet;
+        mContext = context;
+    }
+
+    /**
+     * Nodes that took the record, of those that it was sent to, and nodes that have it in force.
+     */
+    record Result(int handed, int asked, int inForce, int nodes, List<String> behind) {}
+
+    /**
+     * Returns the highest version number that the named nodes and a few of each data centre report.
+     */
+    long highestNumber() {
+        return mFleet
+                .get(mFleet.someOfEachDataCentre(NODES_OF_EACH_DATA_CENTRE), Fleet.SHORT_STATUS)
+                .values()
+                .stream()
+                .mapToLong(a -> a.body().path("configNumber").asLong())
+                .reduce(mFleet.highestNumber(), Math::max);
+    }
+
+    Result spread(AcceptedConfig record, String token) {
+        long start = mContext.time().nanos();
+        List<NodeRef> first = mFleet.someOfEachDataCentre(NODES_OF_EACH_DATA_CENTRE);
+        Map<NodeRef, NodeAnswer> answers =
+                mFleet.post(first, "/azurestage/v1/config", record.toJson(), token);
+        long handed = answers.values().stream().filter(NodeAnswer::isOk).count();
+        Collection<NodeRef> all = mFleet.nodes();
+        List<NodeRef> behind = behind(all, record);
+        while (!behind.isEmpty() && mContext.time().nanos() - start < LIMIT.toNanos()) {
+            mContext.pause().accept(PAUSE);
+            behind = behind(behind, record);
+        }
+        return new Result(
+                (int) handed,
+                first.size(),
+                all.size() - behind.size(),
+                all.size(),
+                behind.stream().map(NodeRef::nodeId).toList());
+    }
+
+    private List<NodeRef> behind(Collection<NodeRef> nodes, AcceptedConfig record) {
+        List<NodeRef> behind = new ArrayList<>();
+        mFleet.get(nodes, Fleet.SHORT_STATUS)
+                .forEach(
+                        (node, answer) -> {
+                            if (!isInForce(answer.body(), record)) {
+                                behind.add(node);
+                            }
+                        });
+        return behind;
+    }
+
+    private static boolean isInForce(JsonNode status, AcceptedConfig record) {
+        return status.path("configNumber").asLong() > record.number()
+                || status.path("configChangeId").asText().equals(record.changeId());
+    }
+}
