Say which nodes did not take a version and why

Cause: a push with a wrong token reports "handed to 0 of 4 nodes" without the reason, and a builder can leave out the class of work unnoticed. Change: config push notes each node that refused the record. Validation reports an operation without a class. Conclusion: every failed step of a push names its reason.

--- a/bench/src/test/java/io/azurestage/bench/standin/StandInStoreTest.java
+++ b/bench/src/test/java/io/azurestage/bench/standin/StandInStoreTest.java
@@ -8,6 +8,8 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class StandInStoreTest {
@@ -56,4 +58,20 @@
         assertThat(meter.read().peakPerSecond()).isEqualTo(20);
         assertThat(meter.read().total()).isEqualTo(30);
     }
+
+    // Guards against a lease that outlives its time, or ends while it is renewed.
+    @Test
+    void endsALeaseAfterItsTime() {
+        List<StandInStoreChange> changes = new ArrayList<>();
+        StandInStoreState state = new StandInStoreState(changes::addAll);
+        long second = Duration.ofSeconds(1).toNanos();
+        long lease = state.grant(5, 0);
+        state.put("k", new byte[0], lease);
+        state.keepAlive(lease, 4 * second);
+        state.expire(9 * second - 1);
+        assertThat(state.hasLease(lease)).isTrue();
+        state.expire(9 * second);
+        assertThat(state.keepAlive(lease, 9 * second)).isZero();
+        assertThat(changes).hasSize(2).last().matches(StandInStoreChange::isRemoval);
+    }
 }
--- a/cli/src/main/java/io/azurestage/cli/ConfigPushCommand.java
+++ b/cli/src/main/java/io/azurestage/cli/ConfigPushCommand.java
@@ -130,6 +130,7 @@
                                     .put("nodes", r.nodes())
                                     .set("behind", Json.strings(r.behind())));
             Json.print(context, n);
+            notes(result, context);
             return;
         }
         context.out()
@@ -145,6 +146,15 @@
                             .println("handed to " + r.handed() + " of " + r.asked() + " nodes");
                     context.out()
                             .println("in force at " + r.inForce() + " of " + r.nodes() + " nodes");
+                });
+        notes(result, context);
+    }
+
+    private static void notes(Optional<Rollout.Result> result, CliContext context) {
+        result.ifPresent(
+                r -> {
+                    r.faults()
+                            .forEach(f -> context.note(f + "; it learns the version from others"));
                     if (!r.behind().isEmpty()) {
                         context.note(
                                 "not in force within "
--- a/cli/src/main/java/io/azurestage/cli/Rollout.java
+++ b/cli/src/main/java/io/azurestage/cli/Rollout.java
@@ -27,9 +27,22 @@
     }
 
     /**
-     * Nodes that took the record, of those that it was sent to, and nodes that have it in force.
+     * Where a record is.
+     *
+     * @param faults nodes that did not take it, of those that it was sent to, with the reason
+     * @param asked number of nodes that it was sent to
+     * @param behind nodes that do not report it in force
+     * @param nodes number of all nodes
      */
-    record Result(int handed, int asked, int inForce, int nodes, List<String> behind) {}
+    record Result(List<String> faults, int asked, List<String> behind, int nodes) {
+        int handed() {
+            return asked - faults.size();
+        }
+
+        int inForce() {
+            return nodes - behind.size();
+        }
+    }
 
     /**
      * Returns the highest version number that the named nodes and a few of each data centre report.
@@ -48,7 +61,13 @@
         List<NodeRef> first = mFleet.someOfEachDataCentre(NODES_OF_EACH_DATA_CENTRE);
         Map<NodeRef, NodeAnswer> answers =
                 mFleet.post(first, "/azurestage/v1/config", record.toJson(), token);
-        long handed = answers.values().stream().filter(NodeAnswer::isOk).count();
+        List<String> faults = new ArrayList<>();
+        answers.forEach(
+                (node, answer) -> {
+                    if (!answer.isOk()) {
+                        faults.add("node " + node.nodeId() + " " + answer.fault());
+                    }
+                });
         Collection<NodeRef> all = mFleet.nodes();
         List<NodeRef> behind = behind(all, record);
         while (!behind.isEmpty() && mContext.time().nanos() - start < LIMIT.toNanos()) {
@@ -56,11 +75,7 @@
             behind = behind(behind, record);
         }
         return new Result(
-                (int) handed,
-                first.size(),
-                all.size() - behind.size(),
-                all.size(),
-                behind.stream().map(NodeRef::nodeId).toList());
+                faults, first.size(), behind.stream().map(NodeRef::nodeId).toList(), all.size());
     }
 
     private List<NodeRef> behind(Collection<NodeRef> nodes, AcceptedConfig record) {
--- a/config/src/main/java/io/azurestage/config/ConfigCheck.java
+++ b/config/src/main/java/io/azurestage/config/ConfigCheck.java
@@ -121,6 +121,12 @@
     }
 
     private void operation(Operation o, String path) {
+        if (o.workClass() == null) {
+            add(
+                    path + ".workClass",
+                    "the operation has no class of work",
+                    "use critical, normal or browsing");
+        }
         if (!METHOD.matcher(o.method()).matches()) {
             add(
                     path + ".method",
--- a/config/src/test/java/io/azurestage/config/ConfigCheckTest.java
+++ b/config/src/test/java/io/azurestage/config/ConfigCheckTest.java
@@ -56,6 +56,10 @@
                         valid().service("s", s -> s.normal("get", "/")),
                         "$.services.s.operations[0].method",
                         "upper case"),
+                fault(
+                        valid().service("s", s -> s.operation("GET", "/", null, true)),
+                        "$.services.s.operations[0].workClass",
+                        "no class"),
                 fault(valid().service("S 1", s -> s), "$.services.S 1", "not valid"),
                 fault(
                         valid().partner("é", p -> p.share(1).credential("z")),
--- a/store/src/test/java/io/azurestage/store/EtcdStoreAnswerTest.java
+++ b/store/src/test/java/io/azurestage/store/EtcdStoreAnswerTest.java
@@ -79,4 +79,16 @@
             assertThat(store.get("k", false).join()).isInstanceOf(ReadResult.Unavailable.class);
         }
     }
+
+    // Guards against threads that a closed store leaves behind in a long-lived process.
+    @Test
+    void leavesNoThreadAfterTheStoreCloses() throws IOException, InterruptedException {
+        write("{}");
+        for (Thread t : Thread.getAllStackTraces().keySet()) {
+            if (t.getName().startsWith("azurestage-store")) {
+                t.join(Duration.ofSeconds(20).toMillis());
+                assertThat(t.isAlive()).as(t.getName()).isFalse();
+            }
+        }
+    }
 }
