Add the experiments overload, shares, rolling and overhead

The baselines wait for at most the connections of a server. Recovery needs both the requests sent in a window and the answers in it to reach 95 %.

Conclusion: the baseline none depends on its timeout, so it is an option (--hop-timeout-ms, default 500). The experiment for overhead compares with direct calls and says nothing until a policy with nodes is plugged in.

--- /dev/null
+++ b/bench/src/main/java/io/azurestage/bench/BenchMain.java
@@ -0,0 +1,153 @@
+package io.azurestage.bench;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * Runs experiments on the loopback interface.
+ *
+ * <pre>
+ * bench overload [--seconds N] [--seed N] [--depth N] [--surge X]
+ *         [--hop-timeout-ms N] [--policy P,...] [--json]
+ * bench shares|rolling [--seconds N] [--seed N] [--depth N] [--policy P,...] [--json]
+ * bench overhead [--seconds N] [--seed N] [--policy P,...] [--json]
+ * </pre>
+ *
+ * <p>The last line of the output is one JSON object with the figures by policy. With {@code --json}
+ * it is the only output and has a time series for each policy. The exit status is 2 for wrong
+ * arguments.
+ */
+public final class BenchMain {
+    private static final int USAGE_ERROR = 2;
+    private static final String DEFAULT_SECONDS = "10";
+    private static final String DEFAULT_SEED = "1";
+    private static final String DEFAULT_DEPTH = "6";
+    private static final String DEFAULT_SURGE = "5";
+    private static final String DEFAULT_HOP_TIMEOUT_MS = "500";
+
+    private final PrintStream mOut;
+
+    private BenchMain(PrintStream out) {
+        mOut = out;
+    }
+
+    /**
+     * Runs the command.
+     *
+     * @param args name of the experiment and its options
+     */
+    public static void main(String[] args) {
+        int status = new BenchMain(System.out).run(args);
+        System.out.flush();
+        // Threads of libraries that are not daemons must not keep the process alive.
+        System.exit(status);
+    }
+
+    private static Options options() {
+        return new Options()
+                .addOption(
+                        option(
+                                "seconds",
+                                "length of the surge or of the measured load, default "
+                                        + DEFAULT_SECONDS))
+                .addOption(option("seed", "seed of load and service times, default 1"))
+                .addOption(option("depth", "services in the chain, default " + DEFAULT_DEPTH))
+                .addOption(
+                        option(
+                                "surge",
+                                "offered load over the capacity of the slowest service, default "
+                                        + DEFAULT_SURGE))
+                .addOption(
+                        option(
+                                "hop-timeout-ms",
+                                "timeout of each hop in the baselines, default "
+                                        + DEFAULT_HOP_TIMEOUT_MS))
+                .addOption(option("policy", "comma-separated policies, default all"))
+                .addOption(Option.builder().longOpt("json").desc("print only JSON").get());
+    }
+
+    private static Option option(String name, String description) {
+        return Option.builder().longOpt(name).hasArg().desc(description).get();
+    }
+
+    private int run(String[] args) {
+        try {
+            CommandLine line = new DefaultParser().parse(options(), args);
+            if (line.getArgList().size() != 1) {
+                throw new ParseException(
+                        "name one experiment: overload, shares, rolling or overhead");
+            }
+            run(line.getArgList().get(0), line);
+            return 0;
+        } catch (ParseException | IllegalArgumentException e) {
+            System.err.println("bench: " + e.getMessage());
+            return USAGE_ERROR;
+        }
+    }
+
+    private void run(String experiment, CommandLine line) throws ParseException {
+        Duration seconds =
+                Duration.ofSeconds(
+                        Integer.parseInt(line.getOptionValue("seconds", DEFAULT_SECONDS)));
+        long seed = Long.parseLong(line.getOptionValue("seed", DEFAULT_SEED));
+        int depth = Integer.parseInt(line.getOptionValue("depth", DEFAULT_DEPTH));
+        Duration hopTimeout =
+                Duration.ofMillis(
+                        Integer.parseInt(
+                                line.getOptionValue("hop-timeout-ms", DEFAULT_HOP_TIMEOUT_MS)));
+        List<Policy> policies = Policies.parse(line.getOptionValue("policy"));
+        boolean json = line.hasOption("json");
+        switch (experiment) {
+            case "overload" -> {
+                double surge = Double.parseDouble(line.getOptionValue("surge", DEFAULT_SURGE));
+                Overload overload = new Overload(depth, surge, seconds, hopTimeout, seed);
+                report(policies, json, policy -> overload.run(policy, json));
+            }
+            case "shares" -> {
+                Shares shares = new Shares(depth, seconds, hopTimeout, seed);
+                report(policies, json, shares::run);
+            }
+            case "rolling" -> {
+                Rolling rolling = new Rolling(depth, seconds, hopTimeout, seed);
+                report(policies, json, rolling::run);
+            }
+            case "overhead" -> {
+                Overhead overhead = new Overhead(seconds, hopTimeout, seed);
+                report(policies, json, overhead::run);
+            }
+            default -> throw new ParseException("unknown experiment: " + experiment);
+        }
+    }
+
+    @FunctionalInterface
+    private interface Run {
+        Map<String, Object> of(Policy policy);
+    }
+
+    private void report(List<Policy> policies, boolean json, Run run) {
+        Map<String, Object> results = new LinkedHashMap<>();
+        for (Policy policy : policies) {
+            Map<String, Object> figures = run.of(policy);
+            results.put(policy.label(), figures);
+            if (!json) {
+                mOut.println(policy.label());
+                figures.forEach((name, value) -> mOut.printf("  %-26s %s%n", name, value));
+            }
+        }
+        try {
+            mOut.println(new ObjectMapper().writeValueAsString(results));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("cannot print the results: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/azurestage/bench/Figures.java
@@ -0,0 +1,167 @@
+package io.azurestage.bench;
+
+import io.azurestage.client.CallClass;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
+import org.HdrHistogram.Histogram;
+
+/** Figures of one run, computed from the samples of the callers. */
+final class Figures {
+    private static final long SECOND = 1_000_000_000L;
+    private static final double MILLI = 1e6;
+    private static final double RECOVERED = 0.95;
+
+    private final LoadPlan mPlan;
+    private final List<Sample> mSamples;
+
+    Figures(LoadPlan plan, Collection<Sample> samples) {
+        mPlan = plan;
+        mSamples = List.copyOf(samples);
+    }
+
+    /** Filters samples by the phase of their intended send time. */
+    Predicate<Sample> sentIn(int phase) {
+        return sentBetween(mPlan.startNanos(phase), mPlan.startNanos(phase + 1));
+    }
+
+    static Predicate<Sample> sentBetween(long from, long to) {
+        return s -> s.intendedNanos() >= from && s.intendedNanos() < to;
+    }
+
+    Predicate<Sample> ofClass(CallClass workClass) {
+        return s -> mPlan.flows().get(s.flow()).workClass() == workClass;
+    }
+
+    Predicate<Sample> ofPartner(String partner) {
+        return s -> mPlan.flows().get(s.flow()).partner().equals(partner);
+    }
+
+    long count(Predicate<Sample> filter) {
+        return mSamples.stream().filter(filter).count();
+    }
+
+    /** Returns the whole requests over the offered ones, or 1 if none was offered. */
+    double success(Predicate<Sample> filter) {
+        long offered = count(filter);
+        return offered == 0 ? 1 : (double) count(filter.and(Sample::whole)) / offered;
+    }
+
+    /** Returns whole requests for each second, by the time of their answer. */
+    double goodputPerSecond(long from, long to) {
+        long whole = count(s -> s.whole() && s.endNanos() >= from && s.endNanos() < to);
+        return whole * (double) SECOND / (to - from);
+    }
+
+    Set<String> wholeKeys() {
+        return mSamples.stream().filter(Sample::whole).map(Sample::key).collect(Collectors.toSet());
+    }
+
+    /**
+     * Returns the time from the start of a phase to the first window in which callers are served
+     * again, in milliseconds, or -1 if there is none in the phase. Two ratios must reach 95 %: the
+     * requests sent in the window that became whole, and the answers in the window over the
+     * requests sent in it. The first alone would pass over a growing delay, the second alone would
+     * count the answers to an old queue.
+     */
+    long recoveryMs(int phase, long windowNanos, long stepNanos) {
+        return firstWindowMs(
+                phase,
+                windowNanos,
+                stepNanos,
+                (from, to) -> {
+                    long offered = count(sentBetween(from, to));
+                    long whole = count(sentBetween(from, to).and(Sample::whole));
+                    long answered =
+                            count(s -> s.whole() && s.endNanos() >= from && s.endNanos() < to);
+                    return offered > 0 && Math.min(whole, answered) >= RECOVERED * offered;
+                });
+    }
+
+    /**
+     * Returns the time from the start of a phase to the first window in which 95 % of the matching
+     * requests became whole, in milliseconds, or -1.
+     */
+    long servedMs(int phase, long windowNanos, long stepNanos, Predicate<Sample> filter) {
+        return firstWindowMs(
+                phase,
+                windowNanos,
+                stepNanos,
+                (from, to) -> {
+                    Predicate<Sample> sent = sentBetween(from, to).and(filter);
+                    return count(sent) > 0 && success(sent) >= RECOVERED;
+                });
+    }
+
+    @FunctionalInterface
+    private interface WindowCheck {
+        boolean passes(long from, long to);
+    }
+
+    private long firstWindowMs(int phase, long windowNanos, long stepNanos, WindowCheck check) {
+        long begin = mPlan.startNanos(phase);
+        long end = mPlan.startNanos(phase + 1);
+        for (long from = begin; from + windowNanos <= end; from += stepNanos) {
+            if (check.passes(from, from + windowNanos)) {
+                return (from - begin) / 1_000_000;
+            }
+        }
+        return -1;
+    }
+
+    /** Returns a percentile in milliseconds, or -1 if no sample matches. */
+    double percentileMs(double percentile, Predicate<Sample> filter, ToLongFunction<Sample> nanos) {
+        Histogram histogram = new Histogram(3);
+        mSamples.stream()
+                .filter(filter)
+                .forEach(s -> histogram.recordValue(Math.max(0, nanos.applyAsLong(s))));
+        return histogram.getTotalCount() == 0
+                ? -1
+                : histogram.getValueAtPercentile(percentile) / MILLI;
+    }
+
+    /** Returns the latency of whole requests, from the intended send time. */
+    double latencyMs(double percentile, Predicate<Sample> filter) {
+        return percentileMs(
+                percentile, filter.and(Sample::whole), s -> s.endNanos() - s.intendedNanos());
+    }
+
+    double senderLagMs(double percentile) {
+        return percentileMs(percentile, s -> true, s -> s.sentNanos() - s.intendedNanos());
+    }
+
+    Map<String, Long> verdicts() {
+        Map<String, Long> counts = new LinkedHashMap<>();
+        for (Verdict verdict : Verdict.values()) {
+            long n = count(s -> s.ending().verdict() == verdict);
+            counts.put(verdict.name().toLowerCase(Locale.ROOT), n);
+        }
+        return counts;
+    }
+
+    /** Returns for each second what ended in it: whole, refusals by kind, and the rest. */
+    List<Map<String, Integer>> series() {
+        List<Map<String, Integer>> seconds = new ArrayList<>();
+        for (Sample sample : mSamples) {
+            int second = (int) (sample.endNanos() / SECOND);
+            while (seconds.size() <= second) {
+                seconds.add(new TreeMap<>());
+            }
+            Verdict verdict = sample.ending().verdict();
+            String name =
+                    verdict == Verdict.REFUSED
+                            ? "refused:" + sample.ending().detail()
+                            : verdict.name().toLowerCase(Locale.ROOT);
+            seconds.get(second).merge(name, 1, Integer::sum);
+        }
+        return seconds;
+    }
+}
--- a/bench/src/main/java/io/azurestage/bench/MeshCaller.java
+++ b/bench/src/main/java/io/azurestage/bench/MeshCaller.java
@@ -46,6 +46,11 @@
         return "credential-of-" + partner;
     }
 
+    /** Tells the callers which entries there are now. */
+    void entries(List<URI> entries) {
+        mClients.values().forEach(client -> client.entries(entries));
+    }
+
     @Override
     public CompletableFuture<Ending> call(Flow flow, RequestKey key, Duration deadline) {
         byte[] payload = payload(flow, key);
--- /dev/null
+++ b/bench/src/main/java/io/azurestage/bench/Sleep.java
@@ -0,0 +1,15 @@
+package io.azurestage.bench;
+
+/** Waiting in experiments. */
+final class Sleep {
+    private Sleep() {}
+
+    static void millis(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("the experiment was interrupted", e);
+        }
+    }
+}
--- a/bench/src/main/java/io/azurestage/bench/Topology.java
+++ b/bench/src/main/java/io/azurestage/bench/Topology.java
@@ -19,6 +19,7 @@
     private static final int SLOTS = 130 / SCALE;
     private static final int SLOTS_OF_SLOWEST = Math.round(13f / SCALE);
     private static final int CONNECTIONS = 900 / SCALE;
+    private static final int CONNECTIONS_OF_SLOWEST = 180 / SCALE;
     private static final Duration TIME = Duration.ofMillis(5);
     private static final Duration TIME_OF_SLOWEST = Duration.ofMillis(40);
     private static final double SPREAD = 0.2;
@@ -29,6 +30,11 @@
         double capacity() {
             return servers * slots * 1e9 / time.toNanos();
         }
+
+        /** Requests that wait on a server's connections while all slots are taken. */
+        int fullQueue() {
+            return connections - slots;
+        }
     }
 
     Topology {
@@ -50,7 +56,7 @@
                             SERVERS,
                             slow ? SLOTS_OF_SLOWEST : SLOTS,
                             slow ? TIME_OF_SLOWEST : TIME,
-                            CONNECTIONS));
+                            slow ? CONNECTIONS_OF_SLOWEST : CONNECTIONS));
         }
         return new Topology(services);
     }
--- a/client/src/main/java/io/azurestage/client/AzurestageClient.java
+++ b/client/src/main/java/io/azurestage/client/AzurestageClient.java
@@ -1,5 +1,8 @@
 package io.azurestage.client;
 
+import java.net.URI;
+import java.util.List;
+
 /**
  * Calls services through the nodes of a mesh. Thread-safe; close it to release its threads.
  *
@@ -56,6 +59,15 @@
         return new Call(service, spec -> new CallRunner(spec, mServices).run());
     }
 
+    /**
+     * Uses other entry nodes from now on. Calls in progress are not affected.
+     *
+     * @param entries ingress addresses, at least one
+     */
+    public void entries(List<URI> entries) {
+        mServices.entries().replace(entries);
+    }
+
     @Override
     public void close() {
         mTransport.close();
--- a/client/src/main/java/io/azurestage/client/Entries.java
+++ b/client/src/main/java/io/azurestage/client/Entries.java
@@ -9,16 +9,22 @@
 
 /** Entry nodes: a random choice among those whose last attempt worked. Thread-safe. */
 final class Entries {
-    private final List<URI> mAll;
+    private List<URI> mAll;
     private final Set<URI> mFailed = new HashSet<>();
     private final RandomGenerator mRandom;
 
     Entries(List<URI> all, RandomGenerator random) {
+        mRandom = random;
+        replace(all);
+    }
+
+    /** Uses other entries from now on; what is known about the remaining ones is kept. */
+    synchronized void replace(List<URI> all) {
         if (all.isEmpty()) {
             throw new IllegalArgumentException("at least one entry node is needed");
         }
         mAll = List.copyOf(all);
-        mRandom = random;
+        mFailed.retainAll(mAll);
     }
 
     /** Picks an entry, if possible not one of those already tried for the same call. */
@@ -40,7 +46,9 @@
 
     /** Marks an entry as failed; when all have failed, all are tried again. */
     synchronized void failed(URI entry) {
-        mFailed.add(entry);
+        if (mAll.contains(entry)) {
+            mFailed.add(entry);
+        }
         if (mFailed.size() == mAll.size()) {
             mFailed.clear();
         }
