--- a/core/src/main/java/io/azurestage/core/admission/ChainLevels.java
+++ b/core/src/main/java/io/azurestage/core/admission/ChainLevels.java
@@ -1,17 +1,31 @@
 package io.azurestage.core.admission;
 
 import io.azurestage.core.time.TimeSource;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
+import java.util.OptionalDouble;
+import java.util.concurrent.ConcurrentHashMap;
 
-/** Admitted fractions of the services below, learnt from answers. Thread-safe. */
+/**
+ * Admitted fractions of the services below, learnt from answers. Thread-safe, and bounded in size:
+ * the chains without feedback for the longest time are forgotten first.
+ */
 public final class ChainLevels {
+    private static final int MAX_CHAINS = 4096;
+    private static final int EVICTED_AT_ONCE = MAX_CHAINS / 8;
+
+    private final TimeSource mTime;
+    private final ConcurrentHashMap<ChainKey, ChainState> mEntries = new ConcurrentHashMap<>();
 
     /**
      * Creates an empty table.
      *
      * @param time source of time
      */
-    public ChainLevels(TimeSource time) {}
+    public ChainLevels(TimeSource time) {
+        mTime = Objects.requireNonNull(time, "time");
+    }
 
     /**
      * Learns the fractions that an answer carried.
@@ -19,7 +33,21 @@
      * @param key chain of the answered request
      * @param fractions admitted fraction by service; a service that is absent admits everything
      */
-    public void learn(ChainKey key, Map<String, Double> fractions) {}
+    public void learn(ChainKey key, Map<String, Double> fractions) {
+        long now = mTime.nanos();
+        mEntries.compute(
+                key,
+                (k, old) -> {
+                    ChainState state = old == null ? new ChainState(fractions, now) : old;
+                    if (old != null) {
+                        old.learn(fractions, now);
+                    }
+                    return state.isExpired(now) ? null : state;
+                });
+        if (mEntries.size() > MAX_CHAINS) {
+            evict(now);
+        }
+    }
 
     /**
      * Returns the fraction to admit at the entry of a chain.
@@ -28,7 +56,23 @@
      * @return a number in (0,1], 1 when nothing is known
      */
     public double fraction(ChainKey key) {
-        return 1;
+        ChainState state = mEntries.get(key);
+        return state == null ? 1 : state.fraction(mTime.nanos());
+    }
+
+    /**
+     * Decides about a request at the entry of a chain and counts it. Entry nodes call this once for
+     * each request instead of {@link #fraction(ChainKey)}: the counts let the level rise as soon as
+     * a surge ends, even before the next answer.
+     *
+     * @param key the chain
+     * @param rank rank of the request in [0,1)
+     * @return the entry fraction for the request's context, empty if the request is refused
+     */
+    public OptionalDouble admit(ChainKey key, double rank) {
+        ChainState state = mEntries.get(key);
+        double fraction = state == null ? 1 : state.offer(mTime.nanos());
+        return rank < fraction ? OptionalDouble.of(fraction) : OptionalDouble.empty();
     }
 
     /**
@@ -38,6 +82,33 @@
      * @return fractions below 1 by service
      */
     public Map<String, Double> fractions(ChainKey key) {
-        return Map.of();
+        ChainState state = mEntries.get(key);
+        return state == null ? Map.of() : state.fractions(mTime.nanos());
+    }
+
+    /**
+     * Returns the number of chains with a level below 1, including aged ones not yet removed.
+     *
+     * @return at most 4096 once all calls of {@link #learn} have returned
+     */
+    public int size() {
+        return mEntries.size();
+    }
+
+    private synchronized void evict(long now) {
+        if (mEntries.size() <= MAX_CHAINS) {
+            return;
+        }
+        mEntries.values().removeIf(e -> e.isExpired(now));
+        if (mEntries.size() <= MAX_CHAINS) {
+            return;
+        }
+        // Learning goes on meanwhile, so the times are read once to keep the order consistent.
+        Map<ChainKey, Long> silent = new HashMap<>();
+        mEntries.forEach((key, state) -> silent.put(key, now - state.learntNanos()));
+        silent.entrySet().stream()
+                .sorted(Map.Entry.<ChainKey, Long>comparingByValue().reversed())
+                .limit(EVICTED_AT_ONCE)
+                .forEach(e -> mEntries.remove(e.getKey()));
     }
 }
--- /dev/null
+++ b/node/src/main/java/io/azurestage/node/StoreLink.java
@@ -0,0 +1,304 @@
+package io.azurestage.node;
+
+import io.azurestage.config.AcceptedConfig;
+import io.azurestage.config.ConfigException;
+import io.azurestage.core.event.EventLog;
+import io.azurestage.core.event.EventType;
+import io.azurestage.core.membership.Member;
+import io.azurestage.core.spread.ConfigRecord;
+import io.azurestage.core.spread.StoreView;
+import io.azurestage.core.spread.Watchers;
+import io.azurestage.core.time.TimeSource;
+import io.azurestage.mesh.Mesh;
+import io.azurestage.store.PlatformStore;
+import io.azurestage.store.ReadResult;
+import io.azurestage.store.Versioned;
+import io.azurestage.store.WatchEvent;
+import io.azurestage.store.WriteResult;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * What this node does at the platform's key-value service. At its start it reads the configuration
+ * and the seeds; after that only the watchers of its data centre use the store. Runs on the store
+ * duty alone.
+ */
+final class StoreLink {
+    // 1,400 nodes that start at once read twice each; spread over this time they stay under 2,000
+    // reads a second.
+    private static final Duration START_SPREAD = Duration.ofMillis(1_500);
+    private static final Duration MIN_BACKOFF = Duration.ofMillis(250);
+    private static final Duration MAX_BACKOFF = Duration.ofSeconds(10);
+    private static final Duration SEEDS_INTERVAL = Duration.ofSeconds(5);
+
+    private final NodeSettings mSettings;
+    private final PlatformStore mStore;
+    private final Mesh mMesh;
+    private final TimeSource mTime;
+    private final RandomGenerator mRandom;
+    private final EventLog mEvents;
+    private final Consumer<Runnable> mDuty;
+    private final Map<String, Versioned> mSeeds = new HashMap<>();
+    private boolean mRead;
+    private boolean mBusy;
+    private boolean mWatching;
+    private boolean mDown;
+    private boolean mServing;
+    private AutoCloseable mWatch = () -> {};
+    private long mNextRead;
+    private long mNextSeeds;
+    private Duration mBackoff = MIN_BACKOFF;
+
+    StoreLink(
+            NodeSettings settings,
+            PlatformStore store,
+            Mesh mesh,
+            TimeSource time,
+            RandomGenerator random,
+            EventLog events,
+            Consumer<Runnable> duty) {
+        mSettings = settings;
+        mStore = store;
+        mMesh = mesh;
+        mTime = time;
+        mRandom = random;
+        mEvents = events;
+        mDuty = duty;
+        // A restarted single node reads at once in the mean after half of the spread.
+        mNextRead = time.nanos() + random.nextLong(START_SPREAD.toNanos());
+        mNextSeeds = mNextRead;
+    }
+
+    /** Whether the store was read since the start. */
+    boolean isRead() {
+        return mRead;
+    }
+
+    /** Whether the store named other nodes to join through. */
+    boolean hasSeeds() {
+        return mSeeds.values().stream()
+                .flatMap(v -> Seeds.parse(v.value()).seeds().stream())
+                .anyMatch(s -> !s.nodeId().equals(mSettings.nodeId()));
+    }
+
+    /** The node serves: unless it is a watcher, it needs the store no more. */
+    void serving() {
+        mServing = true;
+    }
+
+    void tick() {
+        List<Member> members = mMesh.members();
+        boolean watcher =
+                Watchers.of(members, mSettings.dataCentre()).stream()
+                        .anyMatch(m -> m.nodeId().equals(mSettings.nodeId()));
+        if (!watcher && mWatching) {
+            stopWatching();
+        }
+        long now = mTime.nanos();
+        boolean needed = !mRead && !mServing || watcher && !mWatching;
+        if (needed && !mBusy && now - mNextRead >= 0) {
+            read(watcher);
+        } else if (mRead && !mBusy && now - mNextSeeds >= 0) {
+            mNextSeeds = now + jittered(SEEDS_INTERVAL).toNanos();
+            refreshSeeds(members);
+        }
+    }
+
+    private void read(boolean watcher) {
+        mBusy = true;
+        mStore.get(StoreKeys.CONFIG, false)
+                .thenCombine(mStore.get(StoreKeys.SEEDS, true), Reads::new)
+                .thenAccept(reads -> mDuty.accept(() -> onRead(reads, watcher)));
+    }
+
+    private record Reads(ReadResult config, ReadResult seeds) {}
+
+    private void onRead(Reads reads, boolean watcher) {
+        mBusy = false;
+        if (reads.config() instanceof ReadResult.Found config
+                && reads.seeds() instanceof ReadResult.Found seeds) {
+            onFound(config, seeds, watcher);
+        } else {
+            failed(reads.config().toString());
+        }
+    }
+
+    private void onFound(ReadResult.Found config, ReadResult.Found seeds, boolean watcher) {
+        up();
+        Optional<Versioned> value = config.values().stream().findFirst();
+        Optional<ConfigRecord> stored = Optional.empty();
+        if (value.isPresent()) {
+            stored = parse(value.get());
+            if (stored.isEmpty()) {
+                return;
+            }
+        }
+        seeds.values().forEach(this::onSeeds);
+        compare(stored, value.map(Versioned::revision).orElse(PlatformStore.ABSENT));
+        mRead = true;
+        if (watcher) {
+            startWatching(config.revision() + 1);
+        }
+    }
+
+    private void onSeeds(Versioned v) {
+        mSeeds.put(v.key(), v);
+        mMesh.addSeeds(Seeds.parse(v.value()).addresses());
+    }
+
+    private Optional<ConfigRecord> parse(Versioned v) {
+        try {
+            String json = new String(v.value(), StandardCharsets.UTF_8);
+            return Optional.of(ConfigRecords.fromStore(AcceptedConfig.parse(json)));
+        } catch (ConfigException e) {
+            mEvents.record(
+                    EventType.CONFIG_REFUSED, Map.of("reason", String.valueOf(e.getMessage())));
+            failed("the configuration in the store cannot be read");
+            return Optional.empty();
+        }
+    }
+
+    private void compare(Optional<ConfigRecord> stored, long revision) {
+        boolean first = Watchers.isFirst(mMesh.members(), mSettings.nodeId());
+        StoreView view = StoreView.of(mMesh.config(), stored, first);
+        if (view instanceof StoreView.Adopt adopt) {
+            mMesh.offerConfig(adopt.record());
+        } else if (view instanceof StoreView.Behind behind) {
+            String inForce = String.valueOf(behind.inForce().number());
+            mEvents.record(EventType.STORE_BEHIND, Map.of("inForce", inForce));
+            if (behind.writeBack()) {
+                writeBack(behind.inForce(), revision);
+            }
+        }
+    }
+
+    private void writeBack(ConfigRecord record, long revision) {
+        byte[] json = ConfigRecords.toStore(record).toJson().getBytes(StandardCharsets.UTF_8);
+        mStore.compareAndSwap(StoreKeys.CONFIG, revision, json, PlatformStore.NO_LEASE)
+                .thenAccept(
+                        r -> {
+                            if (r instanceof WriteResult.Applied) {
+                                mEvents.record(
+                                        EventType.STORE_RESTORED,
+                                        Map.of("number", String.valueOf(record.number())));
+                            }
+                        });
+    }
+
+    private void startWatching(long fromRevision) {
+        mWatching = true;
+        AutoCloseable config =
+                mStore.watch(StoreKeys.CONFIG, false, fromRevision, this::onWatchEvent);
+        AutoCloseable seeds = mStore.watch(StoreKeys.SEEDS, true, fromRevision, this::onWatchEvent);
+        mWatch =
+                () -> {
+                    config.close();
+                    seeds.close();
+                };
+    }
+
+    private void onWatchEvent(WatchEvent e) {
+        mDuty.accept(() -> handle(e));
+    }
+
+    private void handle(WatchEvent e) {
+        if (e instanceof WatchEvent.Put put) {
+            Versioned v = put.value();
+            if (v.key().startsWith(StoreKeys.SEEDS)) {
+                onSeeds(v);
+            } else {
+                parse(v).ifPresent(r -> compare(Optional.of(r), v.revision()));
+            }
+        } else if (e instanceof WatchEvent.Removed removed) {
+            mSeeds.remove(removed.key());
+            if (removed.key().equals(StoreKeys.CONFIG)) {
+                compare(Optional.empty(), PlatformStore.ABSENT);
+            }
+        } else if (e instanceof WatchEvent.Broken broken && mWatching) {
+            stopWatching();
+            failed(broken.reason());
+        }
+    }
+
+    private void stopWatching() {
+        mWatching = false;
+        try {
+            mWatch.close();
+        } catch (Exception e) {
+            mEvents.record(EventType.STORE_DOWN, Map.of("reason", "the watch does not close"));
+        }
+        mWatch = () -> {};
+    }
+
+    private void refreshSeeds(List<Member> members) {
+        boolean first =
+                Watchers.of(members, mSettings.dataCentre()).stream()
+                        .findFirst()
+                        .filter(m -> m.nodeId().equals(mSettings.nodeId()))
+                        .isPresent();
+        if (!first) {
+            return;
+        }
+        String key = StoreKeys.SEEDS + mSettings.dataCentre();
+        Versioned old = mSeeds.get(key);
+        Seeds before = old == null ? new Seeds(List.of()) : Seeds.parse(old.value());
+        Seeds next = before.refreshed(members, mSettings.dataCentre());
+        if (next.equals(before)) {
+            return;
+        }
+        mBusy = true;
+        byte[] json = next.json();
+        long revision = old == null ? PlatformStore.ABSENT : old.revision();
+        mStore.compareAndSwap(key, revision, json, PlatformStore.NO_LEASE)
+                .thenAccept(r -> mDuty.accept(() -> onSeedsWritten(key, json, r)));
+    }
+
+    private void onSeedsWritten(String key, byte[] json, WriteResult r) {
+        mBusy = false;
+        if (r instanceof WriteResult.Applied applied) {
+            up();
+            mSeeds.put(key, new Versioned(key, json, applied.revision()));
+        } else {
+            // The value has changed or may have: read it again before the next try.
+            mRead = false;
+            mServing = false;
+            mNextRead = mTime.nanos() + jittered(mBackoff).toNanos();
+        }
+    }
+
+    private void up() {
+        mBackoff = MIN_BACKOFF;
+        if (mDown) {
+            mDown = false;
+            mEvents.record(EventType.STORE_UP, Map.of());
+        }
+    }
+
+    private void failed(String reason) {
+        if (!mDown) {
+            mDown = true;
+            mEvents.record(EventType.STORE_DOWN, Map.of("reason", reason));
+        }
+        mNextRead = mTime.nanos() + jittered(mBackoff).toNanos();
+        Duration doubled = mBackoff.multipliedBy(2);
+        mBackoff = doubled.compareTo(MAX_BACKOFF) > 0 ? MAX_BACKOFF : doubled;
+    }
+
+    /** Full jitter keeps nodes from coming back to the store at the same moment. */
+    private Duration jittered(Duration d) {
+        return Duration.ofNanos(d.toNanos() / 2 + mRandom.nextLong(d.toNanos()));
+    }
+
+    void close() {
+        if (mWatching) {
+            stopWatching();
+        }
+        mStore.close();
+    }
+}
