Run the experiments with nodes as well

Cause: the daemon exists, so the azurestage mesh can be compared with the baselines in the same run.

--- a/bench/src/main/java/io/azurestage/bench/Policies.java
+++ b/bench/src/main/java/io/azurestage/bench/Policies.java
@@ -6,7 +6,8 @@
 
 /** The policies that experiments can run with. */
 final class Policies {
-    private static final List<Policy> ALL = List.of(DirectPolicy.values());
+    private static final List<Policy> ALL =
+            List.of(DirectPolicy.NONE, DirectPolicy.PER_HOP, new AzurestagePolicy());
 
     private Policies() {}
 
