--- a/node/src/main/java/io/azurestage/node/DataPlane.java
+++ b/node/src/main/java/io/azurestage/node/DataPlane.java
@@ -11,8 +11,10 @@
 import io.azurestage.core.once.OnceRegistry;
 import io.azurestage.core.routing.Endpoint;
 import io.azurestage.core.routing.Router;
+import io.azurestage.core.routing.RoutingSettings;
 import io.azurestage.core.time.HybridClock;
 import io.azurestage.core.time.TimeSource;
+import java.time.Duration;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
@@ -44,7 +46,21 @@
                         s.nodeId(), Member.newIncarnation(time, ThreadLocalRandom.current()));
         HybridClock clock = new HybridClock(time);
         EventLog events = new EventLog(s.nodeId(), clock, s.eventCapacity(), eventSink);
-        Router router = new Router(s.dataCentre(), s.region(), time, RandomGenerator.getDefault());
+        RoutingSettings routing =
+                new RoutingSettings(
+                        RoutingSettings.defaults().sameRegionCost(),
+                        RoutingSettings.defaults().otherRegionCost(),
+                        Duration.ofMillis(s.warmUpMillis()));
+        // Many threads pick at once; the generators of the platform are not thread-safe.
+        RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
+        Router router =
+                new Router(
+                        s.dataCentre(),
+                        s.region(),
+                        routing,
+                        new EjectionReports(events),
+                        time,
+                        random);
         Signer signer = new Signer(HexFormat.of().parseHex(s.meshKey()));
         mShared = new Shared(s, self, time, clock, signer, router, events, new NodeMetrics());
         mFlights = new Flights(mShared.metrics());
--- a/node/src/main/java/io/azurestage/node/StoreLink.java
+++ b/node/src/main/java/io/azurestage/node/StoreLink.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -94,9 +95,7 @@
 
     void tick() {
         List<Member> members = mMesh.members();
-        boolean watcher =
-                Watchers.of(members, mSettings.dataCentre()).stream()
-                        .anyMatch(m -> m.nodeId().equals(mSettings.nodeId()));
+        boolean watcher = Watchers.place(members, mSettings.nodeId()).isPresent();
         if (!watcher && mWatching) {
             stopWatching();
         }
@@ -110,6 +109,11 @@
         }
     }
 
+    private boolean isFirstWatcher(List<Member> members) {
+        OptionalInt place = Watchers.place(members, mSettings.nodeId());
+        return place.isPresent() && place.getAsInt() == 0;
+    }
+
     private void read(boolean watcher) {
         mBusy = true;
         mStore.get(StoreKeys.CONFIG, false)
@@ -165,8 +169,7 @@
     }
 
     private void compare(Optional<ConfigRecord> stored, long revision) {
-        boolean first = Watchers.isFirst(mMesh.members(), mSettings.nodeId());
-        StoreView view = StoreView.of(mMesh.config(), stored, first);
+        StoreView view = StoreView.of(mMesh.config(), stored, isFirstWatcher(mMesh.members()));
         if (view instanceof StoreView.Adopt adopt) {
             mMesh.offerConfig(adopt.record());
         } else if (view instanceof StoreView.Behind behind) {
@@ -237,12 +240,7 @@
     }
 
     private void refreshSeeds(List<Member> members) {
-        boolean first =
-                Watchers.of(members, mSettings.dataCentre()).stream()
-                        .findFirst()
-                        .filter(m -> m.nodeId().equals(mSettings.nodeId()))
-                        .isPresent();
-        if (!first) {
+        if (!isFirstWatcher(members)) {
             return;
         }
         String key = StoreKeys.SEEDS + mSettings.dataCentre();
