--- a/store/src/main/java/io/azurestage/store/EtcdHttp.java
+++ b/store/src/main/java/io/azurestage/store/EtcdHttp.java
@@ -30,6 +30,9 @@
 
     private static final int MAX_THREADS = 8;
 
+    /** Every waiting watch holds a connection, and calls must still find a free one. */
+    private static final int MAX_CONNECTIONS = 256;
+
     /** A watch without any data for this long is taken for broken, as its link may be dead. */
     static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
@@ -53,6 +56,7 @@
         mClient.setScheduler(mScheduler);
         mClient.setConnectTimeout(timeout.toMillis());
         mClient.setIdleTimeout(IDLE_TIMEOUT.toMillis());
+        mClient.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
         mClient.setFollowRedirects(false);
         try {
             mClient.start();
