Leave members out of the status on request

Cause: the tool asks each of 1,400 nodes for its status, and 1,400 members in each answer are 300 MB. Change: members=false on the admin endpoint.

--- a/node/src/main/java/io/azurestage/node/AdminHandler.java
+++ b/node/src/main/java/io/azurestage/node/AdminHandler.java
@@ -56,7 +56,7 @@
             case "GET /livez" -> reply(response, callback, HttpStatus.OK_200, TEXT, "ok\n");
             case "GET /readyz" -> ready(response, callback);
             case "GET /metrics" -> metrics(response, callback);
-            case "GET /azurestage/v1/status" -> json(response, callback, mStatus.status());
+            case "GET /azurestage/v1/status" -> status(request, response, callback);
             case "GET /azurestage/v1/events" ->
                     json(
                             response,
@@ -74,6 +74,11 @@
         return true;
     }
 
+    private void status(Request request, Response response, Callback callback) {
+        String members = Request.extractQueryParameters(request).getValue("members");
+        json(response, callback, mStatus.status(!"false".equals(members)));
+    }
+
     private void ready(Response response, Callback callback) {
         String reason = mControl.notReady();
         int status = reason.isEmpty() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503;
--- a/node/src/main/java/io/azurestage/node/StatusReport.java
+++ b/node/src/main/java/io/azurestage/node/StatusReport.java
@@ -21,7 +21,7 @@
         mControl = control;
     }
 
-    Map<String, Object> status() {
+    Map<String, Object> status(boolean withMembers) {
         AdmissionDuty.Status admission = mData.admission().status();
         Optional<ConfigRecord> config = mControl.mesh().config();
         Map<String, Object> m = new LinkedHashMap<>();
@@ -40,7 +40,9 @@
         m.put("inProgress", mData.inProgress());
         m.put("fractions", fractions());
         m.put("lent", lent());
-        m.put("members", members());
+        if (withMembers) {
+            m.put("members", members());
+        }
         return m;
     }
 
