--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -105,9 +105,6 @@
         PartnerState p = mPartners.of(w.partner(), now);
         p.arrived(w.workClass().ordinal(), now);
         mDemand.arrived(new PartnerClass(w.partner(), w.workClass()), w.entryFraction());
-        if (mRunning.isEmpty()) {
-            mTimes.busy(now);
-        }
         Waiting waiting = new Waiting(w, p, now, mSequence++);
         if (isLate(waiting, expectedWait(waiting, now), now)) {
             refuse(waiting, RefusalReason.DEADLINE_EXCEEDED, now);
@@ -162,7 +159,7 @@
     /** Refuses queued work that waited too long and updates limits and levels. Call every 10 ms. */
     public void tick() {
         long now = mTime.nanos();
-        mOffer.observe(drainNanos(now));
+        mOffer.observe(drainNanos(now), mRunning.size() / (double) limit());
         if (now - mWindowStart >= WINDOW_NANOS) {
             roll(now);
         }
@@ -253,6 +250,9 @@
     private void start(Waiting w, long now) {
         mQueue.remove(w);
         mQueued.remove(w.work());
+        if (mRunning.isEmpty()) {
+            mTimes.busy(now);
+        }
         mRunning.put(w.work(), w);
         w.partner().usage(w.classIndex()).start(now);
         w.work().listener().run();
--- a/core/src/main/java/io/azurestage/core/admission/ConcurrencyLimit.java
+++ b/core/src/main/java/io/azurestage/core/admission/ConcurrencyLimit.java
@@ -15,14 +15,22 @@
     private static final double BASELINE_ERRORS = 3;
     private static final double BASELINE_RISE = 0.01;
     private static final double BASELINE_FALL = 0.1;
+    private static final double LESS_WORK = 0.6;
     private static final double NO_EFFECT = 0.8;
     private static final int MIN_SAMPLES = 50;
+
+    /** In the first window after a start, only the fastest answers have arrived. */
+    private static final int LEARNING_WINDOWS = 3;
+
     private static final int MIN_BASELINE_SAMPLES = 10;
     private static final long MAX_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long MAX_SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final int mSlots;
     private final RunningMean mWindow = new RunningMean();
+    private final RunningMean mConcurrency = new RunningMean();
+    private final RunningMean mLearnt = new RunningMean();
+    private int mLearntWindows;
     private double mLimit;
     private double mStep = 1;
     private double mBaseline;
@@ -30,7 +38,7 @@
     private boolean mRefused;
     private long mWindowStart;
     private long mSettled;
-    private double mLimitBeforeCut;
+    private double mConcurrencyBeforeCut;
     private double mLatencyBeforeCut;
 
     ConcurrencyLimit(int slots, long nowNanos) {
@@ -53,7 +61,10 @@
      */
     void completed(Completion c, int othersInFlight) {
         switch (c.outcome()) {
-            case ANSWERED -> mWindow.add(Math.max(1, c.ownNanos()));
+            case ANSWERED -> {
+                mWindow.add(Math.max(1, c.ownNanos()));
+                mConcurrency.add(othersInFlight + 1);
+            }
             case SERVER_REFUSED -> refused(othersInFlight);
             // A failure is often faster than an answer, and a cancelled request says nothing.
             default -> {}
@@ -95,19 +106,27 @@
     }
 
     private void follow(long nowNanos) {
+        if (mLearntWindows < LEARNING_WINDOWS) {
+            mLearntWindows++;
+            mLearnt.merge(mWindow);
+            mBaseline = mLearnt.mean();
+        }
         double latency = mWindow.mean();
         double low = latency - CUT_ERRORS * mWindow.standardError();
-        if (mBaseline == 0 || low <= TOLERANCE * mBaseline) {
-            mLimitBeforeCut = 0;
-            learnBaseline();
+        if (low <= TOLERANCE * mBaseline) {
+            mConcurrencyBeforeCut = 0;
+            adaptBaseline();
             if (latency <= GROWTH_TOLERANCE * mBaseline) {
                 grow();
+            } else {
+                // Small steps find the limit at which the latency reaches the tolerance.
+                mLimit = Math.min(mSlots, mLimit + 1);
             }
             return;
         }
         if (cutHadNoEffect(latency)) {
             mBaseline = latency;
-            mLimitBeforeCut = 0;
+            mConcurrencyBeforeCut = 0;
             grow();
             return;
         }
@@ -115,18 +134,18 @@
     }
 
     /**
-     * A server that is as slow at half the limit is not slow because of its load; a lower limit
-     * would only lower its throughput.
+     * A server that is as slow with little work as with much is not slow because of its load; a
+     * lower limit would only lower its throughput.
      */
     private boolean cutHadNoEffect(double latency) {
-        return mLimitBeforeCut > 0
-                && mLimit <= Math.max(minLimit(), MIN_GRADIENT * mLimitBeforeCut)
-                && latency >= NO_EFFECT * mLatencyBeforeCut;
+        boolean lessWork =
+                mConcurrency.mean() <= LESS_WORK * mConcurrencyBeforeCut || mLimit <= minLimit();
+        return mConcurrencyBeforeCut > 0 && lessWork && latency >= NO_EFFECT * mLatencyBeforeCut;
     }
 
     private void cut(double gradient, double latency, long nowNanos) {
-        if (mLimitBeforeCut == 0) {
-            mLimitBeforeCut = mLimit;
+        if (mConcurrency.mean() > mConcurrencyBeforeCut) {
+            mConcurrencyBeforeCut = mConcurrency.mean();
             mLatencyBeforeCut = latency;
         }
         mLimit = Math.max(minLimit(), mLimit * Math.max(MIN_GRADIENT, gradient));
@@ -140,13 +159,12 @@
         mStep = Math.min(mSlots, mStep * 2);
     }
 
-    private void learnBaseline() {
+    private void adaptBaseline() {
         if (mWindow.count() < MIN_BASELINE_SAMPLES) {
             return;
         }
         double latency = mWindow.mean();
-        boolean lower = latency + BASELINE_ERRORS * mWindow.standardError() < mBaseline;
-        if (mBaseline == 0 || lower) {
+        if (latency + BASELINE_ERRORS * mWindow.standardError() < mBaseline) {
             mBaseline = latency;
             return;
         }
@@ -158,10 +176,11 @@
 
     private void restart(long nowNanos) {
         mWindow.clear();
+        mConcurrency.clear();
         mWindowStart = nowNanos;
     }
 
     private double minLimit() {
-        return Math.max(1, Math.ceil(mSlots * MIN_PART));
+        return Math.max(1, Math.floor(mSlots * MIN_PART));
     }
 }
--- a/core/src/main/java/io/azurestage/core/admission/LevelEntry.java
+++ b/core/src/main/java/io/azurestage/core/admission/LevelEntry.java
@@ -68,12 +68,12 @@
         old.forEach(
                 (service, f) -> {
                     double target = bounded(fractions.getOrDefault(service, 1.0));
-                    putBelowOne(blended, service, f + part * (target - f));
+                    putBelowOne(blended, service, (1 - part) * f + part * target);
                 });
         fractions.forEach(
                 (service, f) -> {
                     if (!old.containsKey(service) && blended.size() < MAX_SERVICES) {
-                        putBelowOne(blended, service, 1 + part * (bounded(f) - 1));
+                        putBelowOne(blended, service, 1 - part + part * bounded(f));
                     }
                 });
         return new LevelEntry(Map.copyOf(blended), nowNanos);
--- a/core/src/main/java/io/azurestage/core/admission/LoanBook.java
+++ b/core/src/main/java/io/azurestage/core/admission/LoanBook.java
@@ -5,17 +5,25 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Finds out which partner uses whose unused share, and reports changes. */
 final class LoanBook {
-    private static final int MIN_CHANGE_SLOTS = 2;
-    private static final int MIN_CHANGE_DIVISOR = 4;
+    /** Hysteresis keeps a loan of about half a slot from starting and ending all the time. */
+    private static final double START_SLOTS = 0.75;
+
+    private static final double END_SLOTS = 0.25;
+
+    /** The slots in use vary from window to window, so changes of a loan are reported rarely. */
+    private static final long CHANGE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private record Key(String lender, String borrower, WorkClass workClass) {}
 
+    private record Reported(int slots, long atNanos) {}
+
     private final PartnerTable mPartners;
     private final LoanListener mListener;
-    private final Map<Key, Integer> mLoans = new LinkedHashMap<>();
+    private final Map<Key, Reported> mLoans = new LinkedHashMap<>();
 
     LoanBook(PartnerTable partners, LoanListener listener) {
         mPartners = partners;
@@ -24,24 +32,24 @@
 
     /** Compares the slots in use with the shares, and returns the loans. */
     List<Loan> update(int limit, long nowNanos) {
-        Map<Key, Integer> found = new LinkedHashMap<>();
+        Map<Key, Double> found = new LinkedHashMap<>();
         double capacity = limit;
         for (WorkClass c : WorkClass.values()) {
             capacity -= find(c, Math.max(0, capacity), nowNanos, found);
         }
         for (Key key : List.copyOf(mLoans.keySet())) {
-            if (!found.containsKey(key)) {
-                report(key, 0);
+            if (found.getOrDefault(key, 0.0) < END_SLOTS) {
+                report(key, 0, nowNanos);
             }
         }
-        found.forEach(this::reportIfChanged);
+        found.forEach((key, slots) -> reportIfChanged(key, slots, nowNanos));
         List<Loan> loans = new ArrayList<>();
         mLoans.forEach(
-                (k, slots) -> loans.add(new Loan(k.lender(), k.borrower(), k.workClass(), slots)));
+                (k, r) -> loans.add(new Loan(k.lender(), k.borrower(), k.workClass(), r.slots())));
         return List.copyOf(loans);
     }
 
-    private double find(WorkClass c, double capacity, long nowNanos, Map<Key, Integer> found) {
+    private double find(WorkClass c, double capacity, long nowNanos, Map<Key, Double> found) {
         double used = 0;
         double unused = 0;
         for (PartnerState p : mPartners.all()) {
@@ -66,10 +74,10 @@
             double part,
             double capacity,
             long nowNanos,
-            Map<Key, Integer> found) {
+            Map<Key, Double> found) {
         for (PartnerState lender : mPartners.all()) {
             double spare = Math.max(0, spare(lender, c, capacity, nowNanos));
-            int slots = (int) Math.round(spare * Math.min(1, part));
+            double slots = spare * Math.min(1, part);
             if (slots > 0) {
                 found.put(new Key(lender.name(), borrower.name(), c), slots);
             }
@@ -80,20 +88,22 @@
         return mPartners.part(p, capacity) - p.usage(c.ordinal()).average(nowNanos);
     }
 
-    /** Small changes are not reported, because the slots in use vary from window to window. */
-    private void reportIfChanged(Key key, int slots) {
-        int old = mLoans.getOrDefault(key, 0);
-        int least = Math.max(MIN_CHANGE_SLOTS, old / MIN_CHANGE_DIVISOR);
-        if (old == 0 || Math.abs(slots - old) >= least) {
-            report(key, slots);
+    private void reportIfChanged(Key key, double lent, long nowNanos) {
+        Reported old = mLoans.get(key);
+        int slots = Math.max(1, (int) Math.round(lent));
+        boolean starts = old == null && lent >= START_SLOTS;
+        boolean changes =
+                old != null && old.slots() != slots && nowNanos - old.atNanos() >= CHANGE_NANOS;
+        if (starts || changes) {
+            report(key, slots, nowNanos);
         }
     }
 
-    private void report(Key key, int slots) {
+    private void report(Key key, int slots, long nowNanos) {
         if (slots == 0) {
             mLoans.remove(key);
         } else {
-            mLoans.put(key, slots);
+            mLoans.put(key, new Reported(slots, nowNanos));
         }
         mListener.changed(key.lender(), key.borrower(), key.workClass(), slots);
     }
--- a/core/src/main/java/io/azurestage/core/admission/Usage.java
+++ b/core/src/main/java/io/azurestage/core/admission/Usage.java
@@ -2,7 +2,7 @@
 
 /** Slots that one partner holds in one class, now and on average over the recent past. */
 final class Usage {
-    private static final double TIME_CONSTANT_NANOS = 100e6;
+    private static final double TIME_CONSTANT_NANOS = 300e6;
 
     private int mInFlight;
     private double mAverage;
--- /dev/null
+++ b/core/src/test/java/io/azurestage/core/admission/AdmissionControllerTest.java
@@ -0,0 +1,249 @@
+package io.azurestage.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.azurestage.config.Azurestage;
+import io.azurestage.config.MeshConfig;
+import io.azurestage.config.WorkClass;
+import io.azurestage.core.time.ManualTimeSource;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+
+class AdmissionControllerTest {
+    private static final MeshConfig SHARES =
+            Azurestage.config()
+                    .partner("a", p -> p.share(50).floor(20))
+                    .partner("b", p -> p.share(50).floor(20))
+                    .build();
+
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final List<Loan> mChanges = new ArrayList<>();
+    private AdmissionController mController = controller(10);
+    private final List<Recorder> mOffered = new ArrayList<>();
+    private final List<Recorder> mRunning = new ArrayList<>();
+
+    /** Records the decisions about one request, and the state of the others at that moment. */
+    private final class Recorder implements WorkListener {
+        private Work mWork;
+        private int mRuns;
+        private final List<RefusalReason> mRefusals = new ArrayList<>();
+        private boolean mBrowsingServed;
+
+        @Override
+        public void run() {
+            mRuns++;
+            mRunning.add(this);
+            for (Recorder r : mOffered) {
+                r.mBrowsingServed |=
+                        r.isWaiting() && mWork.workClass().compareTo(r.mWork.workClass()) > 0;
+            }
+        }
+
+        @Override
+        public void refuse(RefusalReason reason, Duration retryAfter) {
+            mRefusals.add(reason);
+            assertThat(retryAfter).isPositive();
+            boolean shed = reason != RefusalReason.DEADLINE_EXCEEDED;
+            if (shed && mWork.workClass() == WorkClass.CRITICAL) {
+                assertThat(mOffered)
+                        .noneMatch(r -> r.isWaiting() && r.mWork.workClass() != WorkClass.CRITICAL);
+            }
+        }
+
+        private boolean isWaiting() {
+            return mRuns + mRefusals.size() == 0;
+        }
+    }
+
+    @Group
+    class Always {
+        // Guards against critical work that is shed or overtaken while browsing is served, against
+        // lost or double decisions, and against more work than slots.
+        @Property(seed = "31", tries = 200)
+        void decidesOnceAndCriticalFirst(@ForAll long randomSeed) {
+            mController = controller(10);
+            mOffered.clear();
+            mRunning.clear();
+            Random random = new Random(randomSeed);
+            for (int i = 0; i < 600; i++) {
+                step(random);
+                assertThat(mController.inFlight()).isEqualTo(mRunning.size());
+                assertThat(mController.inFlight()).isLessThanOrEqualTo(10);
+            }
+            mTime.advance(Duration.ofSeconds(10));
+            mController.tick();
+            assertThat(mOffered)
+                    .allMatch(r -> r.mRuns + r.mRefusals.size() == 1)
+                    .noneMatch(r -> r.mBrowsingServed);
+        }
+
+        private void step(Random random) {
+            mTime.advance(Duration.ofNanos(random.nextInt(10_000_000)));
+            if (random.nextInt(4) == 0 && !mRunning.isEmpty()) {
+                end(random.nextInt(mRunning.size()), 20);
+            } else if (random.nextInt(10) == 0) {
+                mController.tick();
+            } else {
+                WorkClass c = WorkClass.values()[random.nextInt(3)];
+                String partner = List.of("a", "b", "unknown").get(random.nextInt(3));
+                offer(partner, c, random.nextDouble(), 50 + random.nextInt(2000));
+            }
+        }
+    }
+
+    @Group
+    class UnderOverload {
+        // Guards against a full queue that refuses the critical arrival instead of browsing.
+        @Example
+        void aCriticalArrivalPushesOutBrowsing() {
+            fill("a", WorkClass.BROWSING);
+            Recorder critical = offer("b", WorkClass.CRITICAL, 0.999, 1000);
+            assertThat(critical.mRefusals).isEmpty();
+            end(0, 20);
+            assertThat(critical.mRuns).isEqualTo(1);
+        }
+
+        // Guards against a choice among equals that differs from the one at other depths.
+        @Example
+        void theHighestRankIsShedFirst() {
+            fill("a", WorkClass.NORMAL);
+            List<Recorder> shed = mOffered.stream().filter(r -> !r.mRefusals.isEmpty()).toList();
+            double lowestShed = shed.stream().mapToDouble(r -> r.mWork.rank()).min().orElseThrow();
+            assertThat(mOffered)
+                    .filteredOn(r -> r.isWaiting())
+                    .allMatch(r -> r.mWork.rank() < lowestShed);
+        }
+
+        // Guards against work that is admitted although it can't end in time.
+        @Example
+        void whatCannotEndInTimeIsRefusedAtOnce() {
+            learnServiceTime(50);
+            Recorder late = offer("a", WorkClass.CRITICAL, 0.1, 40);
+            assertThat(late.mRefusals).containsExactly(RefusalReason.DEADLINE_EXCEEDED);
+            assertThat(offer("a", WorkClass.CRITICAL, 0.1, 60).mRuns).isEqualTo(1);
+        }
+
+        // Guards against an estimate that refuses all work and is therefore never corrected.
+        @Example
+        void anEstimateThatRefusesEverythingExpires() {
+            learnServiceTime(500);
+            advance(1100);
+            assertThat(offer("a", WorkClass.CRITICAL, 0.1, 400).mRuns).isEqualTo(1);
+        }
+
+        @Example
+        void completingTwiceIsAnError() {
+            Recorder r = offer("a", WorkClass.NORMAL, 0.5, 1000);
+            end(0, 1);
+            assertThatThrownBy(() -> mController.complete(r.mWork, answered(1)))
+                    .isInstanceOf(IllegalArgumentException.class);
+        }
+    }
+
+    @Group
+    class Lending {
+        // Guards against a lender that waits behind the borrower's queue.
+        @Example
+        void theLenderTakesTheNextFreeSlot() {
+            fill("a", WorkClass.NORMAL);
+            Recorder lender = offer("b", WorkClass.NORMAL, 0.9, 1000);
+            assertThat(lender.mRuns).isZero();
+            end(0, 20);
+            assertThat(lender.mRuns).isEqualTo(1);
+        }
+
+        // Guards against a floor that is lent although its owner was active a moment ago.
+        @Example
+        void theFloorOfAnActivePartnerStaysFreeForTenSeconds() {
+            offer("b", WorkClass.NORMAL, 0.5, 1000);
+            end(0, 20);
+            fill("a", WorkClass.NORMAL);
+            assertThat(mController.inFlight()).isEqualTo(8);
+            assertThat(offer("b", WorkClass.NORMAL, 0.9, 1000).mRuns).isEqualTo(1);
+            end(mRunning.size() - 1, 20);
+            mTime.advance(Duration.ofMillis(10_001));
+            fill("a", WorkClass.NORMAL);
+            assertThat(mController.inFlight()).isEqualTo(10);
+        }
+
+        // Guards against a floor kept for browsing that holds back another partner's advances.
+        @Example
+        void aFloorForBrowsingDoesNotHoldBackCriticalWork() {
+            offer("b", WorkClass.BROWSING, 0.5, 1000);
+            end(0, 20);
+            fill("a", WorkClass.CRITICAL);
+            assertThat(mController.inFlight()).isEqualTo(10);
+        }
+
+        // Guards against lending that nobody can see.
+        @Example
+        void isReportedFromStartToEnd() {
+            fill("a", WorkClass.NORMAL);
+            advance(1500);
+            assertThat(mController.loans())
+                    .containsExactly(new Loan("b", "a", WorkClass.NORMAL, 5))
+                    .isEqualTo(List.of(mChanges.get(mChanges.size() - 1)));
+            while (!mRunning.isEmpty()) {
+                end(0, 20);
+            }
+            advance(1000);
+            assertThat(mController.loans()).isEmpty();
+            assertThat(mChanges.get(mChanges.size() - 1))
+                    .isEqualTo(new Loan("b", "a", WorkClass.NORMAL, 0));
+        }
+    }
+
+    private AdmissionController controller(int slots) {
+        AdmissionController c =
+                new AdmissionController(
+                        slots, mTime, (l, b, w, n) -> mChanges.add(new Loan(l, b, w, n)));
+        c.configure(SHARES);
+        return c;
+    }
+
+    private Recorder offer(String partner, WorkClass c, double rank, int deadlineMillis) {
+        Recorder r = new Recorder();
+        long deadline = mTime.nanos() + Duration.ofMillis(deadlineMillis).toNanos();
+        r.mWork = new Work(partner, c, rank, deadline, 1, false, r);
+        mOffered.add(r);
+        mController.offer(r.mWork);
+        return r;
+    }
+
+    private void fill(String partner, WorkClass c) {
+        for (int i = 0; i < 100; i++) {
+            offer(partner, c, (i * 37 % 100) / 100.0, 5000);
+        }
+    }
+
+    private void end(int index, long millis) {
+        mController.complete(mRunning.remove(index).mWork, answered(millis));
+    }
+
+    private void learnServiceTime(long millis) {
+        for (int i = 0; i < 10; i++) {
+            offer("a", WorkClass.CRITICAL, 0.5, 5000);
+            end(0, millis);
+        }
+        advance(100);
+    }
+
+    private void advance(int millis) {
+        for (int i = 0; i < millis; i += 10) {
+            mTime.advance(Duration.ofMillis(10));
+            mController.tick();
+        }
+    }
+
+    private static Completion answered(long millis) {
+        long nanos = Duration.ofMillis(millis).toNanos();
+        return new Completion(nanos, nanos, Completion.Outcome.ANSWERED);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/azurestage/core/admission/OverloadTest.java
@@ -0,0 +1,97 @@
+package io.azurestage.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.config.WorkClass;
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.GenerationMode;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+class OverloadTest {
+    private static final int[] SLOTS = {13, 30, 130};
+    private static final double[] LOADS = {2, 5, 10};
+
+    @Group
+    class Goals {
+        // Guards against lost goodput, wasted work, shed advances and slow recovery at every load
+        // and size of the goals, with short and with long service times.
+        @Property(seed = "41", generation = GenerationMode.EXHAUSTIVE)
+        void hold(@ForAll @IntRange(max = 8) int size, @ForAll @IntRange(max = 1) int time) {
+            double millis = time == 0 ? 10 : 50;
+            Surge surge = new Surge(SLOTS[size / 3], millis, LOADS[size % 3], Tuning.DEFAULT, true);
+            Surge.Figures f = surge.run(size + 1);
+            assertThat(f.served()).as("served by %s", surge).isGreaterThanOrEqualTo(0.97);
+            assertThat(f.wasted()).as("wasted by %s", surge).isLessThanOrEqualTo(0.01);
+            assertThat(f.critical()).as("critical of %s", surge).isGreaterThanOrEqualTo(0.999);
+            assertThat(f.recoveryMillis()).as("recovery of %s", surge).isBetween(0.0, 500.0);
+        }
+    }
+
+    @Group
+    class Shares {
+        // Guards against a partner whose surge takes the share of another one.
+        @Example
+        void aSurgeLeavesTheOthersTheirGoodput() {
+            Simulation sim = simulation(1);
+            sim.add("a", WorkClass.NORMAL, t -> t < 2 ? 260 : 2600);
+            sim.add("b", WorkClass.NORMAL, t -> 80);
+            sim.run(6);
+            assertThat(goodput(sim, "b", 2, 5)).isGreaterThanOrEqualTo(0.99);
+        }
+
+        // Guards against a share that is lent and comes back late.
+        @Example
+        void aLentShareIsBackWithinAFewHundredMilliseconds() {
+            Simulation sim = simulation(2);
+            sim.add("a", WorkClass.NORMAL, t -> 2600);
+            sim.add("b", WorkClass.NORMAL, t -> t < 3 ? 0 : 90);
+            sim.run(6);
+            assertThat(goodput(sim, "b", 3.3, 5)).isGreaterThanOrEqualTo(0.99);
+            assertThat(sim.mLoanChanges).anyMatch(c -> c.startsWith("b>a NORMAL"));
+            assertThat(goodput(sim, "a", 3.3, 5)).isBetween(0.05, 0.1);
+        }
+
+        // Guards against fractions that swing between admitting all and nearly nothing.
+        @Example
+        void fractionsDoNotOscillateUnderConstantOverload() {
+            Simulation sim = new Simulation(130, Surge.SHARES, Tuning.DEFAULT, 3);
+            sim.mServiceTime = (t, n) -> 10 * Simulation.MILLI;
+            sim.add("a", WorkClass.NORMAL, t -> 65_000);
+            double[] range = {1, 0};
+            sim.mOnTick =
+                    () -> {
+                        double f =
+                                sim.mController
+                                        .fractions()
+                                        .getOrDefault(new PartnerClass("a", WorkClass.NORMAL), 1.0);
+                        if (sim.now() > 1e9) {
+                            range[0] = Math.min(range[0], f);
+                            range[1] = Math.max(range[1], f);
+                        }
+                    };
+            sim.run(4);
+            assertThat(range[0]).isGreaterThan(0.2 * 0.8);
+            assertThat(range[1]).isLessThan(0.2 * 1.2);
+        }
+
+        /** A server of 13 slots and 260 requests per second. */
+        private static Simulation simulation(long seed) {
+            Simulation sim = new Simulation(13, Surge.SHARES, Tuning.DEFAULT, seed);
+            sim.mServiceTime =
+                    (t, n) -> sim.exponential(25 * Simulation.MILLI) + 25 * Simulation.MILLI;
+            return sim;
+        }
+
+        private static double goodput(Simulation sim, String partner, double from, double to) {
+            List<Simulation.Request> all =
+                    sim.arrived(WorkClass.NORMAL, from, to).stream()
+                            .filter(r -> r.mStream.partner().equals(partner))
+                            .toList();
+            return all.stream().filter(Simulation.Request::inTime).count() / (double) all.size();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/azurestage/core/admission/PiecesTest.java
@@ -0,0 +1,247 @@
+package io.azurestage.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import io.azurestage.config.WorkClass;
+import io.azurestage.core.time.ManualTimeSource;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+class PiecesTest {
+    private static final WorkListener SILENT =
+            new WorkListener() {
+                @Override
+                public void run() {}
+
+                @Override
+                public void refuse(RefusalReason reason, Duration retryAfter) {}
+            };
+
+    @Group
+    class Division {
+        // Guards against idle capacity, and against a claimant that gains at a poorer one's cost.
+        @Property(seed = "21", tries = 300)
+        void isWeightedMaxMin(
+                @ForAll @DoubleRange(max = 1000) double capacity,
+                @ForAll @Size(min = 1, max = 8) List<@DoubleRange(max = 500) Double> demandList,
+                @ForAll @Size(value = 8) List<@IntRange(min = 1, max = 100) Integer> weightList) {
+            double[] demands = demandList.stream().mapToDouble(d -> d).toArray();
+            int n = demands.length;
+            double[] weights = weightList.stream().limit(n).mapToDouble(w -> w).toArray();
+            double[] allotted = WaterFilling.divide(capacity, demands, weights);
+            double expected = Math.min(capacity, Arrays.stream(demands).sum());
+            assertThat(Arrays.stream(allotted).sum()).isCloseTo(expected, within(1e-6));
+            for (int i = 0; i < n; i++) {
+                assertThat(allotted[i]).isBetween(0.0, demands[i]);
+                for (int j = 0; j < n && allotted[i] < demands[i] - 1e-6; j++) {
+                    assertThat(allotted[j] / weights[j])
+                            .isLessThanOrEqualTo(allotted[i] / weights[i] + 1e-6);
+                }
+            }
+        }
+    }
+
+    @Group
+    class Limit {
+        // Guards against a limit above the slots or without any slot, whatever the server does.
+        @Property(seed = "22", tries = 100)
+        void staysWithinTheSlots(
+                @ForAll @IntRange(min = 1, max = 200) int slots, @ForAll long randomSeed) {
+            Random random = new Random(randomSeed);
+            ConcurrencyLimit limit = new ConcurrencyLimit(slots, 0);
+            for (int i = 0; i < 2000; i++) {
+                long own = (long) (random.nextDouble() * 1e9);
+                Completion.Outcome outcome = Completion.Outcome.values()[random.nextInt(4)];
+                limit.completed(new Completion(own, own, outcome), random.nextInt(slots));
+                if (i % 20 == 0) {
+                    limit.roll(i * 5_000_000L);
+                }
+                assertThat(limit.limit()).isBetween(1, slots);
+            }
+        }
+
+        // Guards against a collapse when the latency varies but the server is not overloaded.
+        @Property(seed = "23", tries = 10)
+        void doesNotFallForABimodalServer(@ForAll long seed) {
+            assertThat(ServerModel.BIMODAL.run(130, true, seed).leastLimit()).isEqualTo(130);
+        }
+
+        // Guards against a limit that stays low after the slowdown that lowered it has ended.
+        @Property(seed = "24", tries = 10)
+        void isBackSoonAfterASlowdown(@ForAll long seed) {
+            assertThat(ServerModel.SLOWDOWN.run(130, true, seed).backMillis())
+                    .isBetween(0.0, 500.0);
+        }
+
+        // Guards against a limit that keeps on sending what the server refuses.
+        @Property(seed = "25", tries = 5)
+        void findsTheCapacityOfARefusingServer(@ForAll long seed) {
+            assertThat(ServerModel.REFUSING.run(130, true, seed).served()).isGreaterThan(0.97);
+        }
+    }
+
+    @Group
+    class Demand {
+        // Guards against an estimate that follows noise or lags behind the start or end of a surge.
+        @Property(seed = "26", tries = 50)
+        void followsASurgeWithinTwoWindows(
+                @ForAll @IntRange(min = 100, max = 3000) int perSecond,
+                @ForAll @IntRange(min = 5, max = 10) int factor,
+                @ForAll long randomSeed) {
+            Random random = new Random(randomSeed);
+            DemandWindow window = new DemandWindow();
+            for (int rate : new int[] {perSecond, perSecond * factor, perSecond}) {
+                for (int i = 0; i < 20; i++) {
+                    arrive(window, rate * 0.1, random);
+                    if (i >= 2) {
+                        assertThat(window.rate()).isCloseTo(rate, within(0.6 * rate));
+                    }
+                }
+            }
+        }
+
+        private static void arrive(DemandWindow window, double mean, Random random) {
+            for (double t = -Math.log(1 - random.nextDouble()); t < mean; ) {
+                window.arrived(1);
+                t -= Math.log(1 - random.nextDouble());
+            }
+            window.roll(0.1);
+        }
+    }
+
+    @Group
+    class Queue {
+        // Guards against serving or shedding in another order than class, partner and rank.
+        @Property(seed = "27", tries = 200)
+        void ordersByClassPartnerAndRank(@ForAll long randomSeed) {
+            Random random = new Random(randomSeed);
+            List<PartnerState> partners =
+                    List.of(new PartnerState("a", 0), new PartnerState("b", 0));
+            double[] fractions = {random.nextDouble(), random.nextDouble()};
+            WorkQueue queue = new WorkQueue(QueueOrder.FIFO);
+            List<Waiting> all =
+                    IntStream.range(0, 1 + random.nextInt(40))
+                            .mapToObj(i -> waiting(partners.get(random.nextInt(2)), random, i))
+                            .toList();
+            all.forEach(queue::add);
+            Waiting next = queue.next((p, c) -> true, 0);
+            Waiting worst = queue.leastEntitled((p, c) -> fractions[partners.indexOf(p)], 0);
+            for (Waiting w : all) {
+                assertThat(next.classIndex()).isLessThanOrEqualTo(w.classIndex());
+                assertThat(worst.classIndex()).isGreaterThanOrEqualTo(w.classIndex());
+                if (w.classIndex() == worst.classIndex() && w.partner() == worst.partner()) {
+                    assertThat(worst.work().rank()).isGreaterThanOrEqualTo(w.work().rank());
+                }
+                if (w.classIndex() == worst.classIndex()
+                        && worst.work().rank() < fractions[partners.indexOf(worst.partner())]) {
+                    assertThat(w.work().rank())
+                            .isLessThan(fractions[partners.indexOf(w.partner())]);
+                }
+            }
+        }
+
+        private static Waiting waiting(PartnerState p, Random random, int sequence) {
+            WorkClass c = WorkClass.values()[random.nextInt(3)];
+            Work w = new Work(p.name(), c, random.nextDouble(), 1, 1, false, SILENT);
+            return new Waiting(w, p, 0, sequence);
+        }
+    }
+
+    @Group
+    class RetryTime {
+        // Guards against refused callers that all come back at the same moment, or never.
+        @Property(seed = "28", tries = 200)
+        void isSpreadByRank(
+                @ForAll @DoubleRange(min = 0.01, max = 1) double fraction,
+                @ForAll @DoubleRange(max = 1e9) double drainNanos,
+                @ForAll @DoubleRange(max = 0.8) double rank) {
+            Duration early = RetryAfter.estimate(drainNanos, fraction, rank);
+            Duration late = RetryAfter.estimate(drainNanos, fraction, rank + 0.1);
+            assertThat(late.minus(early)).isGreaterThanOrEqualTo(Duration.ofMillis(15));
+            assertThat(early).isGreaterThanOrEqualTo(Duration.ofMillis(100));
+            assertThat(late).isLessThanOrEqualTo(Duration.ofSeconds(5));
+        }
+    }
+
+    @Group
+    class Levels {
+        private final ManualTimeSource mTime = new ManualTimeSource();
+        private final ChainLevels mLevels = new ChainLevels(mTime);
+
+        // Guards against a jump that floods a service, and against a level that never recovers.
+        @Property(seed = "29", tries = 100)
+        void riseInBoundedStepsWithoutFeedback(
+                @ForAll @DoubleRange(min = 0.01, max = 0.99) double fraction) {
+            mLevels.learn(key(0), Map.of("s", fraction));
+            double before = mLevels.fraction(key(0));
+            assertThat(before).isEqualTo(fraction);
+            for (int i = 0; i < 300; i++) {
+                mTime.advance(Duration.ofMillis(10));
+                double now = mLevels.fraction(key(0));
+                assertThat(now).isBetween(before, Math.min(1, before * 1.5 + 1e-9));
+                assertThat(i >= 98 || now == fraction).isTrue();
+                before = now;
+            }
+            assertThat(before).isEqualTo(1);
+        }
+
+        // Guards against a table that grows with the number of partners and operations.
+        @Example
+        void areBoundedAndForgetTheOldest() {
+            for (int i = 0; i < 10_000; i++) {
+                mTime.advance(Duration.ofNanos(1));
+                mLevels.learn(key(i), Map.of("s", 0.5));
+            }
+            assertThat(mLevels.size()).isLessThanOrEqualTo(4096);
+            assertThat(mLevels.fraction(key(9_999))).isEqualTo(0.5);
+            assertThat(mLevels.fraction(key(0))).isEqualTo(1);
+        }
+
+        // Guards against servers of one service that overrule each other's fractions.
+        @Example
+        void averageTheServersOfAServiceAndTakeTheLowestService() {
+            for (int i = 0; i < 200; i++) {
+                mTime.advance(Duration.ofMillis(1));
+                double f = i % 2 == 0 ? 0.2 : 0.4;
+                mLevels.learn(key(0), Map.of("s", f, "t", 0.9));
+            }
+            assertThat(mLevels.fraction(key(0))).isCloseTo(0.3, within(0.02));
+            assertThat(mLevels.fractions(key(0))).containsOnlyKeys("s", "t");
+        }
+
+        // Guards against an entry that waits for rare feedback after the surge has ended.
+        @Example
+        void riseWhenTheOfferedRateFalls() {
+            mLevels.learn(key(0), Map.of("s", 0.1));
+            offer(Duration.ofMillis(500), 10);
+            mLevels.learn(key(0), Map.of("s", 0.1));
+            offer(Duration.ofMillis(200), 1);
+            assertThat(mLevels.fraction(key(0))).isGreaterThan(0.9);
+        }
+
+        private void offer(Duration time, int perMillisecond) {
+            for (int i = 0; i < time.toMillis() * perMillisecond; i++) {
+                if (i % perMillisecond == 0) {
+                    mTime.advance(Duration.ofMillis(1));
+                }
+                mLevels.admit(key(0), 0.5);
+            }
+        }
+
+        private static ChainKey key(int i) {
+            return new ChainKey("s", "GET /" + i, "a", WorkClass.NORMAL);
+        }
+    }
+}
