Carry levels of the services a request has reached, and age each by itself

Cause: an answer that was refused halfway did not name the deeper services, and the entry read that as 'admits everything'.

--- a/core/src/main/java/io/azurestage/core/admission/ChainLevels.java
+++ b/core/src/main/java/io/azurestage/core/admission/ChainLevels.java
@@ -31,7 +31,8 @@
      * Learns the fractions that an answer carried.
      *
      * @param key chain of the answered request
-     * @param fractions admitted fraction by service; a service that is absent admits everything
+     * @param fractions admitted fraction by service, 1 for a service that admits everything again;
+     *     a service that is absent was not reached
      */
     public void learn(ChainKey key, Map<String, Double> fractions) {
         long now = mTime.nanos();
--- a/core/src/main/java/io/azurestage/core/admission/LevelEntry.java
+++ b/core/src/main/java/io/azurestage/core/admission/LevelEntry.java
@@ -14,44 +14,82 @@
     private static final double ADMITS_ALL = 0.995;
     private static final int MAX_SERVICES = 256;
 
-    private final Map<String, Double> mFractions;
+    private final Map<String, Level> mLevels;
     private final long mLearnt;
 
-    private LevelEntry(Map<String, Double> fractions, long nowNanos) {
-        mFractions = fractions;
-        mLearnt = nowNanos;
+    /** The fraction of one service and when it was last heard of. */
+    private record Level(double fraction, long learntNanos) {
+
+        /** A level without feedback rises in steps, because the service may still be slow. */
+        double aged(long nowNanos) {
+            long silent = nowNanos - learntNanos - FRESH_NANOS;
+            double growth = silent < 0 ? 1 : Math.pow(STEP_FACTOR, 1 + silent / STEP_NANOS);
+            return Math.min(1, fraction * growth);
+        }
+    }
+
+    private LevelEntry(Map<String, Level> levels, long learntNanos) {
+        mLevels = levels;
+        mLearnt = learntNanos;
     }
 
     static LevelEntry first(Map<String, Double> fractions, long nowNanos) {
-        return new LevelEntry(Map.of(), nowNanos).blend(fractions, 1, nowNanos);
+        return new LevelEntry(Map.of(), nowNanos).learn(fractions, nowNanos);
     }
 
     /**
      * Moves the levels towards an answer's fractions. The servers of a service publish different
-     * fractions; their average is what the service as a whole can admit.
+     * fractions; their average is what the service as a whole can admit. A service that the answer
+     * does not name was not reached, or has not been overloaded lately; its level stays and ages.
      */
     LevelEntry learn(Map<String, Double> fractions, long nowNanos) {
+        Map<String, Level> learnt = new HashMap<>();
+        mLevels.forEach(
+                (service, level) -> {
+                    if (level.aged(nowNanos) < ADMITS_ALL) {
+                        learnt.put(service, level);
+                    }
+                });
+        fractions.forEach(
+                (service, f) -> {
+                    Level old = learnt.getOrDefault(service, new Level(1, nowNanos));
+                    Level next = new Level(blend(old, bounded(f), nowNanos), nowNanos);
+                    if (next.fraction() >= ADMITS_ALL) {
+                        learnt.remove(service);
+                    } else if (learnt.size() < MAX_SERVICES || learnt.containsKey(service)) {
+                        learnt.put(service, next);
+                    }
+                });
+        return new LevelEntry(Map.copyOf(learnt), nowNanos);
+    }
+
+    private double blend(Level old, double target, long nowNanos) {
+        if (mLevels.isEmpty()) {
+            return target;
+        }
         double elapsed = Math.max(0, nowNanos - mLearnt);
         double part = Math.max(MIN_BLEND, 1 - Math.exp(-elapsed / BLEND_NANOS));
-        return blend(fractions, part, nowNanos);
+        return (1 - part) * old.aged(nowNanos) + part * target;
     }
 
     Map<String, Double> fractions(long nowNanos) {
-        double growth = growth(nowNanos);
-        if (growth <= 1) {
-            return mFractions;
-        }
         Map<String, Double> aged = new HashMap<>();
-        mFractions.forEach((service, f) -> putBelowOne(aged, service, f * growth));
+        mLevels.forEach(
+                (service, level) -> {
+                    double f = level.aged(nowNanos);
+                    if (f < ADMITS_ALL) {
+                        aged.put(service, f);
+                    }
+                });
         return Map.copyOf(aged);
     }
 
     double lowest(long nowNanos) {
         double lowest = 1;
-        for (double f : mFractions.values()) {
-            lowest = Math.min(lowest, f);
+        for (Level level : mLevels.values()) {
+            lowest = Math.min(lowest, level.aged(nowNanos));
         }
-        return Math.min(1, lowest * growth(nowNanos));
+        return lowest;
     }
 
     boolean isExpired(long nowNanos) {
@@ -62,35 +100,6 @@
         return mLearnt;
     }
 
-    private LevelEntry blend(Map<String, Double> fractions, double part, long nowNanos) {
-        Map<String, Double> old = fractions(nowNanos);
-        Map<String, Double> blended = new HashMap<>();
-        old.forEach(
-                (service, f) -> {
-                    double target = bounded(fractions.getOrDefault(service, 1.0));
-                    putBelowOne(blended, service, (1 - part) * f + part * target);
-                });
-        fractions.forEach(
-                (service, f) -> {
-                    if (!old.containsKey(service) && blended.size() < MAX_SERVICES) {
-                        putBelowOne(blended, service, 1 - part + part * bounded(f));
-                    }
-                });
-        return new LevelEntry(Map.copyOf(blended), nowNanos);
-    }
-
-    /** A level that gets no more feedback rises in steps, because the service may still be slow. */
-    private double growth(long nowNanos) {
-        long silent = nowNanos - mLearnt - FRESH_NANOS;
-        return silent < 0 ? 1 : Math.pow(STEP_FACTOR, 1 + silent / STEP_NANOS);
-    }
-
-    private static void putBelowOne(Map<String, Double> map, String service, double fraction) {
-        if (fraction < ADMITS_ALL) {
-            map.put(service, fraction);
-        }
-    }
-
     private static double bounded(double fraction) {
         return Math.max(FractionPlan.MIN_FRACTION, Math.min(1, fraction));
     }
--- a/node/src/main/java/io/azurestage/node/Call.java
+++ b/node/src/main/java/io/azurestage/node/Call.java
@@ -55,4 +55,25 @@
     boolean mayRunAgain() {
         return operation.idempotent();
     }
+
+    /** The same call with another admitted fraction on the way here. */
+    Call withEntryFraction(double fraction) {
+        return new Call(
+                id,
+                partner,
+                workClass,
+                deadline,
+                deadlineNanos,
+                service,
+                operation,
+                method,
+                target,
+                headers,
+                body,
+                ticket,
+                depth,
+                fraction,
+                repeatable,
+                retry);
+    }
 }
--- a/node/src/main/java/io/azurestage/node/EgressHandler.java
+++ b/node/src/main/java/io/azurestage/node/EgressHandler.java
@@ -140,13 +140,17 @@
 
     private void send(Optional<Progress> parent, Call call, AnswerSink sink) {
         if (parent.isEmpty()) {
-            mForwarder.forward(call, new Allowance(0), new Cancellation(), sink);
+            mForwarder.forward(call, new Allowance(0), new Cancellation(), l -> {}, sink);
             return;
         }
         Progress p = parent.get();
-        p.subCallStarted(call.chainKey());
+        p.subCallStarted();
         mForwarder.forward(
-                call, p.allowance(), p.cancellation(), new SubCallSink(sink, p::subCallEnded));
+                call,
+                p.allowance(),
+                p.cancellation(),
+                p::learn,
+                new SubCallSink(sink, p::subCallEnded));
     }
 
     private Optional<Refusal> refusal(Optional<Progress> parent, Call call) {
@@ -185,31 +189,11 @@
                         body,
                         Optional.empty(),
                         c.depth() + 1,
-                        c.entryFraction(),
+                        p.entryFraction(),
                         p.isRepeatable(),
                         c.retry());
         double below = mShared.levels().fraction(call.chainKey());
-        return below < call.entryFraction() ? withFraction(call, below) : call;
-    }
-
-    private static Call withFraction(Call c, double fraction) {
-        return new Call(
-                c.id(),
-                c.partner(),
-                c.workClass(),
-                c.deadline(),
-                c.deadlineNanos(),
-                c.service(),
-                c.operation(),
-                c.method(),
-                c.target(),
-                c.headers(),
-                c.body(),
-                c.ticket(),
-                c.depth(),
-                fraction,
-                c.repeatable(),
-                c.retry());
+        return call.withEntryFraction(Math.min(below, call.entryFraction()));
     }
 
     /** A call that belongs to no request gets the least privilege. */
--- a/node/src/main/java/io/azurestage/node/Entry.java
+++ b/node/src/main/java/io/azurestage/node/Entry.java
@@ -144,16 +144,19 @@
                     Refusal.notRun(RefusalKind.TICKET_REQUIRED, "the operation is not idempotent"));
             return;
         }
-        double fraction = call.entryFraction();
         // The owner of a ticketed call applies the levels: only it can say not-run of a repeat.
-        if (ticket.isEmpty() && id.rank() >= fraction) {
-            shed(call, sink, fraction);
+        if (ticket.isEmpty() && id.rank() >= call.entryFraction()) {
+            shed(call, sink, call.entryFraction());
             return;
         }
         Cancellation cancellation = new Cancellation();
         request.addFailureListener(t -> cancellation.cancel());
         mForwarder.forward(
-                call, new Allowance(mShared.config().retryAllowance()), cancellation, sink);
+                call,
+                new Allowance(mShared.config().retryAllowance()),
+                cancellation,
+                levels -> {},
+                sink);
     }
 
     private void shed(Call call, AnswerSink sink, double fraction) {
@@ -193,6 +196,10 @@
                                 "the ticket is for another partner or service"));
     }
 
+    private double admittedFraction(ChainKey key, RequestId id) {
+        return mShared.levels().admit(key, id.rank()).orElse(mShared.levels().fraction(key));
+    }
+
     private Call call(RequestId id, Request request, byte[] body, Optional<Ticket> ticket) {
         HttpFields h = request.getHeaders();
         ServiceSpec spec = mShared.config().service(h.get(Headers.SERVICE)).orElseThrow();
@@ -229,7 +236,7 @@
                 body,
                 ticket,
                 0,
-                ticket.isPresent() ? 1 : mShared.levels().fraction(key),
+                ticket.isPresent() ? 1 : admittedFraction(key, id),
                 op.idempotent(),
                 false);
     }
--- a/node/src/main/java/io/azurestage/node/Forwarder.java
+++ b/node/src/main/java/io/azurestage/node/Forwarder.java
@@ -1,6 +1,8 @@
 package io.azurestage.node;
 
 import io.azurestage.core.retry.Allowance;
+import java.util.Map;
+import java.util.function.Consumer;
 import org.eclipse.jetty.client.HttpClient;
 
 /** Sends calls to the node beside a backend server of the called service. */
@@ -15,8 +17,19 @@
         mDelay = delay;
     }
 
-    /** Sends a call and retries it within its allowance. The sink hears one answer. */
-    void forward(Call call, Allowance allowance, Cancellation cancellation, AnswerSink sink) {
-        new Forwarding(mShared, mClient, mDelay, call, allowance, cancellation, sink).start();
+    /**
+     * Sends a call and retries it within its allowance.
+     *
+     * @param onLevels hears the admitted fractions that answers carry
+     * @param sink hears one answer
+     */
+    void forward(
+            Call call,
+            Allowance allowance,
+            Cancellation cancellation,
+            Consumer<Map<String, Double>> onLevels,
+            AnswerSink sink) {
+        new Forwarding(mShared, mClient, mDelay, call, allowance, cancellation, onLevels, sink)
+                .start();
     }
 }
--- a/node/src/main/java/io/azurestage/node/Forwarding.java
+++ b/node/src/main/java/io/azurestage/node/Forwarding.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -40,6 +41,7 @@
     private final Allowance mAllowance;
     private final Cancellation mCancellation;
     private final AnswerSink mSink;
+    private final Consumer<Map<String, Double>> mOnLevels;
     private final Set<NodeIdentity> mExclude = new HashSet<>();
     private Optional<Ticket> mOwnTicket = Optional.empty();
     private int mRetries;
@@ -52,6 +54,7 @@
             Call call,
             Allowance allowance,
             Cancellation cancellation,
+            Consumer<Map<String, Double>> onLevels,
             AnswerSink sink) {
         mShared = shared;
         mClient = client;
@@ -60,6 +63,7 @@
         mAllowance = allowance;
         mCancellation = cancellation;
         mSink = sink;
+        mOnLevels = onLevels;
     }
 
     void start() {
@@ -352,6 +356,7 @@
             mShared.clock().receive(m.time());
             mLoan.giveBack(m.unusedAllowance());
             mShared.levels().learn(mCall.chainKey(), m.levels());
+            mOnLevels.accept(m.levels());
         }
 
         private void foreign() {
@@ -381,10 +386,7 @@
     /** Takes the rest of an answer that was dropped. */
     private static final class Ignore implements StreamSink {
         @Override
-        public void write(
-                java.nio.ByteBuffer part,
-                Runnable written,
-                java.util.function.Consumer<Throwable> failed) {
+        public void write(java.nio.ByteBuffer part, Runnable written, Consumer<Throwable> failed) {
             failed.accept(new IllegalStateException("the answer was dropped"));
         }
 
--- a/node/src/main/java/io/azurestage/node/Owner.java
+++ b/node/src/main/java/io/azurestage/node/Owner.java
@@ -10,9 +10,9 @@
 import io.azurestage.core.once.StoredAnswer;
 import io.azurestage.core.once.Ticket;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -22,12 +22,14 @@
     private final AdmissionDuty mAdmission;
     private final OnceRegistry mOnce;
     private final HttpClient mClient;
+    private final OwnLevels mOwnLevels;
 
     Owner(Shared shared, AdmissionDuty admission, OnceRegistry once, HttpClient client) {
         mShared = shared;
         mAdmission = admission;
         mOnce = once;
         mClient = client;
+        mOwnLevels = new OwnLevels(admission::fractions, shared.time());
     }
 
     void configure(MeshConfig config) {
@@ -103,7 +105,8 @@
      * Only this node knows, so the levels of the chain are applied here.
      */
     private void admitTicketed(Call call, Progress progress, AnswerSink sink) {
-        if (call.id().rank() >= mShared.levels().fraction(call.chainKey())) {
+        OptionalDouble fraction = mShared.levels().admit(call.chainKey(), call.id().rank());
+        if (fraction.isEmpty()) {
             sink.refuse(
                     Refusal.notRun(
                             RefusalKind.OVERLOADED,
@@ -111,7 +114,9 @@
                             "a service of the chain is overloaded"));
             return;
         }
-        admit(call, progress, sink, true);
+        double least = Math.min(fraction.getAsDouble(), call.entryFraction());
+        progress.entryFraction(least);
+        admit(call.withEntryFraction(least), progress, sink, true);
     }
 
     private void admit(Call call, Progress progress, AnswerSink sink, boolean ticketed) {
@@ -131,11 +136,10 @@
 
     /** Fractions to report upstream: this server's own and those of the services below. */
     Map<String, Double> levels(Call call, Progress progress) {
-        Map<String, Double> all = new HashMap<>(progress.levels(mShared.levels()));
-        Double own = mAdmission.fractions().get(new PartnerClass(call.partner(), call.workClass()));
-        if (own != null) {
-            all.merge(mShared.settings().service(), own, Math::min);
-        }
+        Map<String, Double> all = progress.levels();
+        mOwnLevels
+                .report(new PartnerClass(call.partner(), call.workClass()))
+                .ifPresent(own -> all.merge(mShared.settings().service(), own, Math::min));
         mShared.levels().learn(call.chainKey(), all);
         return all;
     }
--- a/node/src/main/java/io/azurestage/node/Progress.java
+++ b/node/src/main/java/io/azurestage/node/Progress.java
@@ -1,14 +1,10 @@
 package io.azurestage.node;
 
-import io.azurestage.core.admission.ChainKey;
-import io.azurestage.core.admission.ChainLevels;
 import io.azurestage.core.context.RequestContext;
 import io.azurestage.core.retry.Allowance;
 import io.azurestage.core.time.TimeSource;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 
 /** One request that this node's backend server works on. Thread-safe. */
 final class Progress {
@@ -17,7 +13,8 @@
     private final Allowance mAllowance;
     private final Cancellation mCancellation;
     private final TimeSource mTime;
-    private final Set<ChainKey> mSubCalls = new HashSet<>();
+    private final Map<String, Double> mLevels = new HashMap<>();
+    private volatile double mEntryFraction;
     private int mOpenSubCalls;
     private long mWaitingSince;
     private long mWaitedNanos;
@@ -29,6 +26,7 @@
             TimeSource time) {
         mContext = context;
         mRepeatable = repeatable;
+        mEntryFraction = context.entryFraction();
         mAllowance = new Allowance(context.allowance());
         mCancellation = cancellation;
         mTime = time;
@@ -43,6 +41,15 @@
         return mRepeatable;
     }
 
+    /** Admitted fraction in force on the way here. */
+    double entryFraction() {
+        return mEntryFraction;
+    }
+
+    void entryFraction(double fraction) {
+        mEntryFraction = fraction;
+    }
+
     Allowance allowance() {
         return mAllowance;
     }
@@ -51,8 +58,7 @@
         return mCancellation;
     }
 
-    synchronized void subCallStarted(ChainKey key) {
-        mSubCalls.add(key);
+    synchronized void subCallStarted() {
         if (mOpenSubCalls++ == 0) {
             mWaitingSince = mTime.nanos();
         }
@@ -69,14 +75,13 @@
         return mOpenSubCalls > 0 ? mWaitedNanos + mTime.nanos() - mWaitingSince : mWaitedNanos;
     }
 
-    /** Fractions of all services below that this request has called. */
-    Map<String, Double> levels(ChainLevels levels) {
-        Set<ChainKey> keys;
-        synchronized (this) {
-            keys = Set.copyOf(mSubCalls);
-        }
-        Map<String, Double> all = new HashMap<>();
-        keys.forEach(k -> levels.fractions(k).forEach((s, f) -> all.merge(s, f, Math::min)));
-        return all;
+    /** Learns the admitted fractions that the answer of a sub-call carried. */
+    synchronized void learn(Map<String, Double> levels) {
+        levels.forEach((service, f) -> mLevels.merge(service, f, Math::min));
+    }
+
+    /** Fractions of the services below that this request has reached. */
+    synchronized Map<String, Double> levels() {
+        return new HashMap<>(mLevels);
     }
 }
