Share the levels of a service between the classes and chains of a partner

Cause: under strict class order little browsing is admitted, so its levels got no feedback, aged out after 1 s and let a burst through every second: 600 requests a second failed below the entry. Change: an answer carries the fractions of all classes of its partner; levels are kept by service, partner and class, and a chain takes the lowest of the services that it reaches. A hop below the entry refuses only when the level has halved since the entry admitted the request.

--- a/core/src/main/java/io/azurestage/core/admission/ChainLevels.java
+++ b/core/src/main/java/io/azurestage/core/admission/ChainLevels.java
@@ -1,6 +1,8 @@
 package io.azurestage.core.admission;
 
+import io.azurestage.config.WorkClass;
 import io.azurestage.core.time.TimeSource;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -17,6 +19,7 @@
 
     private final TimeSource mTime;
     private final ConcurrentHashMap<ChainKey, ChainState> mEntries = new ConcurrentHashMap<>();
+    private final ConcurrentHashMap<PartnerClass, LevelTable> mTables = new ConcurrentHashMap<>();
 
     /**
      * Creates an empty table.
@@ -28,21 +31,27 @@
     }
 
     /**
-     * Learns the fractions that an answer carried.
+     * Learns the fractions that an answer carried. They apply to all chains of the partner that
+     * reach these services: under strict class order little browsing work is admitted, so most of
+     * the feedback about it comes on answers of more important work.
      *
      * @param key chain of the answered request
-     * @param fractions admitted fraction by service, 1 for a service that admits everything again;
-     *     a service that is absent was not reached
+     * @param levels fractions of the services that the request has reached
      */
-    public void learn(ChainKey key, Map<String, Double> fractions) {
+    public void learn(ChainKey key, Collection<ServiceLevel> levels) {
+        if (levels.isEmpty()) {
+            return;
+        }
         long now = mTime.nanos();
+        for (ServiceLevel l : levels) {
+            table(key.partner(), l.workClass()).learn(l.service(), l.fraction(), now);
+        }
+        LevelTable table = table(key.partner(), key.workClass());
         mEntries.compute(
                 key,
                 (k, old) -> {
-                    ChainState state = old == null ? new ChainState(fractions, now) : old;
-                    if (old != null) {
-                        old.learn(fractions, now);
-                    }
+                    ChainState state = old == null ? new ChainState(table, now) : old;
+                    levels.forEach(l -> state.reaches(l.service()));
                     return state.isExpired(now) ? null : state;
                 });
         if (mEntries.size() > MAX_CHAINS) {
@@ -50,6 +59,10 @@
         }
     }
 
+    private LevelTable table(String partner, WorkClass workClass) {
+        return mTables.computeIfAbsent(new PartnerClass(partner, workClass), k -> new LevelTable());
+    }
+
     /**
      * Returns the fraction to admit at the entry of a chain.
      *
--- a/core/src/main/java/io/azurestage/core/admission/ChainState.java
+++ b/core/src/main/java/io/azurestage/core/admission/ChainState.java
@@ -1,9 +1,12 @@
 package io.azurestage.core.admission;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
- * Levels and offered rate of one chain. Thread-safe.
+ * Services and offered rate of one chain. Thread-safe.
  *
  * <p>A fraction stands for the rate that it admits at the time of the feedback. When the offered
  * rate has fallen since, admitting that rate takes a larger fraction. The entry therefore recovers
@@ -13,18 +16,24 @@
     /** Smaller falls of the offered rate may be chance. */
     private static final double MIN_FALL = 1.5;
 
+    private static final int MAX_SERVICES = 256;
+
+    private final LevelTable mTable;
     private final OfferedRate mOffered;
-    private LevelEntry mLevels;
+    private final Set<String> mServices = new HashSet<>();
+    private long mLearnt;
     private double mRateAtFeedback;
 
-    ChainState(Map<String, Double> fractions, long nowNanos) {
+    ChainState(LevelTable table, long nowNanos) {
+        mTable = table;
         mOffered = new OfferedRate(nowNanos);
-        mLevels = LevelEntry.first(fractions, nowNanos);
+        mLearnt = nowNanos;
     }
 
-    synchronized void learn(Map<String, Double> fractions, long nowNanos) {
-        mLevels = mLevels.learn(fractions, nowNanos);
-        mRateAtFeedback = mOffered.recentRate(nowNanos);
+    synchronized void reaches(String service) {
+        if (mServices.size() < MAX_SERVICES) {
+            mServices.add(service);
+        }
     }
 
     synchronized double offer(long nowNanos) {
@@ -33,20 +42,45 @@
     }
 
     synchronized double fraction(long nowNanos) {
-        double rate = Math.max(1, mOffered.rate(nowNanos));
-        double fall = mRateAtFeedback / rate;
-        return Math.min(1, mLevels.lowest(nowNanos) * (fall > MIN_FALL ? fall : 1));
+        noteFeedback(nowNanos);
+        double lowest = 1;
+        for (String service : mServices) {
+            lowest = Math.min(lowest, mTable.fraction(service, nowNanos));
+        }
+        double fall = mRateAtFeedback / Math.max(1, mOffered.rate(nowNanos));
+        return Math.min(1, lowest * (fall > MIN_FALL ? fall : 1));
+    }
+
+    /** Feedback comes on answers of other chains and classes too, so it is noted when read. */
+    private void noteFeedback(long nowNanos) {
+        long latest = learntNanos();
+        if (latest != mLearnt) {
+            mLearnt = latest;
+            mRateAtFeedback = mOffered.recentRate(nowNanos);
+        }
     }
 
     synchronized Map<String, Double> fractions(long nowNanos) {
-        return mLevels.fractions(nowNanos);
+        Map<String, Double> below = new HashMap<>();
+        for (String service : mServices) {
+            double f = mTable.fraction(service, nowNanos);
+            if (f < 1) {
+                below.put(service, f);
+            }
+        }
+        return Map.copyOf(below);
     }
 
     synchronized boolean isExpired(long nowNanos) {
-        return mLevels.isExpired(nowNanos);
+        return fractions(nowNanos).isEmpty();
     }
 
     synchronized long learntNanos() {
-        return mLevels.learntNanos();
+        long latest = mLearnt;
+        for (String service : mServices) {
+            long learnt = mTable.learntNanos(service, latest);
+            latest = learnt - latest > 0 ? learnt : latest;
+        }
+        return latest;
     }
 }
--- a/core/src/test/java/io/azurestage/core/admission/PiecesTest.java
+++ b/core/src/test/java/io/azurestage/core/admission/PiecesTest.java
@@ -184,7 +184,7 @@
         @Property(seed = "29", tries = 100)
         void riseInBoundedStepsWithoutFeedback(
                 @ForAll @DoubleRange(min = 0.01, max = 0.99) double fraction) {
-            mLevels.learn(key(0), Map.of("s", fraction));
+            mLevels.learn(key(0), levels(Map.of("s", fraction)));
             double before = mLevels.fraction(key(0));
             assertThat(before).isEqualTo(fraction);
             for (int i = 0; i < 300; i++) {
@@ -202,7 +202,7 @@
         void areBoundedAndForgetTheOldest() {
             for (int i = 0; i < 10_000; i++) {
                 mTime.advance(Duration.ofNanos(1));
-                mLevels.learn(key(i), Map.of("s", 0.5));
+                mLevels.learn(key(i), levels(Map.of("s", 0.5)));
             }
             assertThat(mLevels.size()).isLessThanOrEqualTo(4096);
             assertThat(mLevels.fraction(key(9_999))).isEqualTo(0.5);
@@ -215,7 +215,7 @@
             for (int i = 0; i < 200; i++) {
                 mTime.advance(Duration.ofMillis(1));
                 double f = i % 2 == 0 ? 0.2 : 0.4;
-                mLevels.learn(key(0), Map.of("s", f, "t", 0.9));
+                mLevels.learn(key(0), levels(Map.of("s", f, "t", 0.9)));
             }
             assertThat(mLevels.fraction(key(0))).isCloseTo(0.3, within(0.02));
             assertThat(mLevels.fractions(key(0))).containsOnlyKeys("s", "t");
@@ -224,9 +224,9 @@
         // Guards against an entry that waits for rare feedback after the surge has ended.
         @Example
         void riseWhenTheOfferedRateFalls() {
-            mLevels.learn(key(0), Map.of("s", 0.1));
+            mLevels.learn(key(0), levels(Map.of("s", 0.1)));
             offer(Duration.ofMillis(500), 10);
-            mLevels.learn(key(0), Map.of("s", 0.1));
+            mLevels.learn(key(0), levels(Map.of("s", 0.1)));
             offer(Duration.ofMillis(200), 1);
             assertThat(mLevels.fraction(key(0))).isGreaterThan(0.9);
         }
@@ -240,6 +240,12 @@
             }
         }
 
+        private static List<ServiceLevel> levels(Map<String, Double> fractions) {
+            return fractions.entrySet().stream()
+                    .map(e -> new ServiceLevel(e.getKey(), WorkClass.NORMAL, e.getValue()))
+                    .toList();
+        }
+
         private static ChainKey key(int i) {
             return new ChainKey("s", "GET /" + i, "a", WorkClass.NORMAL);
         }
--- a/core/src/test/java/io/azurestage/core/admission/Simulation.java
+++ b/core/src/test/java/io/azurestage/core/admission/Simulation.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -189,9 +188,12 @@
     }
 
     private void answer(Request r) {
-        PartnerClass pc = new PartnerClass(r.mWork.partner(), r.mWork.workClass());
-        Double f = mController.fractions().get(pc);
-        Map<String, Double> carried = f == null ? Map.of() : Map.of("s", f);
+        List<ServiceLevel> carried = new ArrayList<>();
+        for (WorkClass c : WorkClass.values()) {
+            PartnerClass pc = new PartnerClass(r.mWork.partner(), c);
+            double f = mController.fractions().getOrDefault(pc, 1.0);
+            carried.add(new ServiceLevel("s", c, f));
+        }
         at(now() + 2 * MILLI, () -> mLevels.learn(key(r.mStream), carried));
     }
 
--- a/node/src/main/java/io/azurestage/node/AnswerCodec.java
+++ b/node/src/main/java/io/azurestage/node/AnswerCodec.java
@@ -2,6 +2,8 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.azurestage.config.WorkClass;
+import io.azurestage.core.admission.ServiceLevel;
 import io.azurestage.core.context.RequestId;
 import io.azurestage.core.context.SignedText;
 import io.azurestage.core.context.Signer;
@@ -9,14 +11,14 @@
 import io.azurestage.wire.generated.AnswerInfo;
 import io.azurestage.wire.generated.Hlc;
 import io.azurestage.wire.generated.Level;
-import java.util.Map;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
-import java.util.TreeMap;
 
 /** Encodes and checks the {@code Azurestage-Answer} header. Thread-safe. */
 final class AnswerCodec {
     // Bounds the header in a graph with many overloaded services.
-    private static final int MAX_LEVELS = 32;
+    private static final int MAX_LEVELS = 48;
 
     private final Signer mSigner;
 
@@ -37,15 +39,16 @@
                                 Hlc.newBuilder()
                                         .setMillis(m.time().millis())
                                         .setCounter(m.time().counter()));
-        m.levels().entrySet().stream()
-                .sorted(Map.Entry.comparingByValue())
+        m.levels().stream()
+                .sorted(Comparator.comparingDouble(ServiceLevel::fraction))
                 .limit(MAX_LEVELS)
                 .forEach(
-                        e ->
+                        l ->
                                 b.addLevels(
                                         Level.newBuilder()
-                                                .setService(e.getKey())
-                                                .setFraction(e.getValue())));
+                                                .setService(l.service())
+                                                .setWorkClass(l.workClass().ordinal())
+                                                .setFraction(l.fraction())));
         return SignedText.encode(b.build().toByteArray(), mSigner);
     }
 
@@ -60,8 +63,7 @@
     private Optional<AnswerMeta> parse(SignedText.Parts p) {
         try {
             AnswerInfo w = AnswerInfo.parseFrom(p.data());
-            Map<String, Double> levels = new TreeMap<>();
-            w.getLevelsList().forEach(l -> levels.put(l.getService(), l.getFraction()));
+            List<ServiceLevel> levels = w.getLevelsList().stream().map(AnswerCodec::level).toList();
             return Optional.of(
                     new AnswerMeta(
                             RequestId.of(w.getRequestId().toByteArray()),
@@ -77,6 +79,12 @@
         }
     }
 
+    private static ServiceLevel level(Level l) {
+        WorkClass[] classes = WorkClass.values();
+        int index = Math.min(l.getWorkClass(), classes.length - 1);
+        return new ServiceLevel(l.getService(), classes[index], l.getFraction());
+    }
+
     private static AnswerInfo.Ran toWire(AnswerMeta.RanState ran) {
         return switch (ran) {
             case RAN -> AnswerInfo.Ran.RAN_YES;
--- a/node/src/main/java/io/azurestage/node/AnswerMeta.java
+++ b/node/src/main/java/io/azurestage/node/AnswerMeta.java
@@ -1,8 +1,9 @@
 package io.azurestage.node;
 
+import io.azurestage.core.admission.ServiceLevel;
 import io.azurestage.core.context.RequestId;
 import io.azurestage.core.time.HlcTime;
-import java.util.Map;
+import java.util.List;
 
 /**
  * What one node tells another about an attempt.
@@ -12,7 +13,7 @@
  * @param ran whether it ran
  * @param kind kind of refusal, empty for an answer of the backend server
  * @param unusedAllowance retries that come back
- * @param levels admitted fractions below 1 by service
+ * @param levels admitted fractions of the services that the request has reached
  * @param load load of the answering server, for routing
  * @param time hybrid logical time
  */
@@ -22,7 +23,7 @@
         RanState ran,
         String kind,
         int unusedAllowance,
-        Map<String, Double> levels,
+        List<ServiceLevel> levels,
         double load,
         HlcTime time) {
 
--- a/node/src/main/java/io/azurestage/node/EgressHandler.java
+++ b/node/src/main/java/io/azurestage/node/EgressHandler.java
@@ -24,6 +24,8 @@
     /** Calls deeper than this are taken for a cycle in the service call graph. */
     static final int MAX_DEPTH = 32;
 
+    private static final double LENIENCY = 2;
+
     private final Shared mShared;
     private final Forwarder mForwarder;
     private final Flights mFlights;
@@ -165,7 +167,9 @@
                             RefusalKind.TICKET_REQUIRED,
                             "a request that may be run again cannot make a call that may not"));
         }
-        if (call.id().rank() >= mShared.levels().fraction(call.chainKey())) {
+        // The entry has admitted this request; only a level that has fallen since stops it here.
+        double fallen = LENIENCY * mShared.levels().fraction(call.chainKey());
+        if (call.id().rank() >= fallen) {
             return Optional.of(
                     Refusal.notRun(RefusalKind.OVERLOADED, "a service of the chain is overloaded"));
         }
--- a/node/src/main/java/io/azurestage/node/Forwarder.java
+++ b/node/src/main/java/io/azurestage/node/Forwarder.java
@@ -1,7 +1,8 @@
 package io.azurestage.node;
 
+import io.azurestage.core.admission.ServiceLevel;
 import io.azurestage.core.retry.Allowance;
-import java.util.Map;
+import java.util.List;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.HttpClient;
 
@@ -27,7 +28,7 @@
             Call call,
             Allowance allowance,
             Cancellation cancellation,
-            Consumer<Map<String, Double>> onLevels,
+            Consumer<List<ServiceLevel>> onLevels,
             AnswerSink sink) {
         new Forwarding(mShared, mClient, mDelay, call, allowance, cancellation, onLevels, sink)
                 .start();
--- a/node/src/main/java/io/azurestage/node/Forwarding.java
+++ b/node/src/main/java/io/azurestage/node/Forwarding.java
@@ -1,5 +1,6 @@
 package io.azurestage.node;
 
+import io.azurestage.core.admission.ServiceLevel;
 import io.azurestage.core.context.NodeIdentity;
 import io.azurestage.core.context.RequestContext;
 import io.azurestage.core.event.EventType;
@@ -15,6 +16,7 @@
 import io.azurestage.core.routing.Pick;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -41,7 +43,7 @@
     private final Allowance mAllowance;
     private final Cancellation mCancellation;
     private final AnswerSink mSink;
-    private final Consumer<Map<String, Double>> mOnLevels;
+    private final Consumer<List<ServiceLevel>> mOnLevels;
     private final Set<NodeIdentity> mExclude = new HashSet<>();
     private Optional<Ticket> mOwnTicket = Optional.empty();
     private int mRetries;
@@ -54,7 +56,7 @@
             Call call,
             Allowance allowance,
             Cancellation cancellation,
-            Consumer<Map<String, Double>> onLevels,
+            Consumer<List<ServiceLevel>> onLevels,
             AnswerSink sink) {
         mShared = shared;
         mClient = client;
--- a/node/src/main/java/io/azurestage/node/Hop.java
+++ b/node/src/main/java/io/azurestage/node/Hop.java
@@ -159,7 +159,7 @@
                                                                 o.ran(),
                                                                 o.kind(),
                                                                 ctx.allowance(),
-                                                                Map.of(),
+                                                                List.of(),
                                                                 mOwner.load(),
                                                                 mShared.clock().tick()))));
     }
--- a/node/src/main/java/io/azurestage/node/OwnLevels.java
+++ b/node/src/main/java/io/azurestage/node/OwnLevels.java
@@ -1,9 +1,12 @@
 package io.azurestage.node;
 
+import io.azurestage.config.WorkClass;
 import io.azurestage.core.admission.PartnerClass;
+import io.azurestage.core.admission.ServiceLevel;
 import io.azurestage.core.time.TimeSource;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -16,30 +19,48 @@
 final class OwnLevels {
     private static final long REPORTED_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    private final String mService;
     private final Supplier<Map<PartnerClass, Double>> mFractions;
     private final TimeSource mTime;
     private final Map<PartnerClass, Long> mLastBelowOne = new ConcurrentHashMap<>();
 
-    OwnLevels(Supplier<Map<PartnerClass, Double>> fractions, TimeSource time) {
+    OwnLevels(String service, Supplier<Map<PartnerClass, Double>> fractions, TimeSource time) {
+        mService = service;
         mFractions = fractions;
         mTime = time;
     }
 
-    OptionalDouble report(PartnerClass key) {
-        Double f = mFractions.get().get(key);
+    /** Returns the fractions of all classes of a partner that are or were below 1. */
+    List<ServiceLevel> report(String partner) {
+        Map<PartnerClass, Double> fractions = mFractions.get();
+        if (fractions.isEmpty() && mLastBelowOne.isEmpty()) {
+            return List.of();
+        }
+        List<ServiceLevel> levels = new ArrayList<>();
+        for (WorkClass c : WorkClass.values()) {
+            PartnerClass key = new PartnerClass(partner, c);
+            double f = fractions.getOrDefault(key, 1.0);
+            if (isReported(key, f)) {
+                levels.add(new ServiceLevel(mService, c, f));
+            }
+        }
+        return levels;
+    }
+
+    private boolean isReported(PartnerClass key, double fraction) {
         long now = mTime.nanos();
-        if (f != null) {
+        if (fraction < 1) {
             mLastBelowOne.put(key, now);
-            return OptionalDouble.of(f);
+            return true;
         }
         Long last = mLastBelowOne.get(key);
         if (last == null) {
-            return OptionalDouble.empty();
+            return false;
         }
         if (now - last > REPORTED_NANOS) {
             mLastBelowOne.remove(key);
-            return OptionalDouble.empty();
+            return false;
         }
-        return OptionalDouble.of(1);
+        return true;
     }
 }
--- a/node/src/main/java/io/azurestage/node/Owner.java
+++ b/node/src/main/java/io/azurestage/node/Owner.java
@@ -1,7 +1,7 @@
 package io.azurestage.node;
 
 import io.azurestage.config.MeshConfig;
-import io.azurestage.core.admission.PartnerClass;
+import io.azurestage.core.admission.ServiceLevel;
 import io.azurestage.core.context.RequestContext;
 import io.azurestage.core.event.EventType;
 import io.azurestage.core.once.Claim;
@@ -10,6 +10,7 @@
 import io.azurestage.core.once.StoredAnswer;
 import io.azurestage.core.once.Ticket;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -29,7 +30,8 @@
         mAdmission = admission;
         mOnce = once;
         mClient = client;
-        mOwnLevels = new OwnLevels(admission::fractions, shared.time());
+        mOwnLevels =
+                new OwnLevels(shared.settings().service(), admission::fractions, shared.time());
     }
 
     void configure(MeshConfig config) {
@@ -135,11 +137,9 @@
     }
 
     /** Fractions to report upstream: this server's own and those of the services below. */
-    Map<String, Double> levels(Call call, Progress progress) {
-        Map<String, Double> all = progress.levels();
-        mOwnLevels
-                .report(new PartnerClass(call.partner(), call.workClass()))
-                .ifPresent(own -> all.merge(mShared.settings().service(), own, Math::min));
+    List<ServiceLevel> levels(Call call, Progress progress) {
+        progress.learn(mOwnLevels.report(call.partner()));
+        List<ServiceLevel> all = progress.levels();
         mShared.levels().learn(call.chainKey(), all);
         return all;
     }
--- a/node/src/main/java/io/azurestage/node/Progress.java
+++ b/node/src/main/java/io/azurestage/node/Progress.java
@@ -1,9 +1,13 @@
 package io.azurestage.node;
 
+import io.azurestage.config.WorkClass;
+import io.azurestage.core.admission.ServiceLevel;
 import io.azurestage.core.context.RequestContext;
 import io.azurestage.core.retry.Allowance;
 import io.azurestage.core.time.TimeSource;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** One request that this node's backend server works on. Thread-safe. */
@@ -13,7 +17,7 @@
     private final Allowance mAllowance;
     private final Cancellation mCancellation;
     private final TimeSource mTime;
-    private final Map<String, Double> mLevels = new HashMap<>();
+    private final Map<LevelKey, Double> mLevels = new HashMap<>();
     private volatile double mEntryFraction;
     private int mOpenSubCalls;
     private long mWaitingSince;
@@ -75,13 +79,22 @@
         return mOpenSubCalls > 0 ? mWaitedNanos + mTime.nanos() - mWaitingSince : mWaitedNanos;
     }
 
+    private record LevelKey(String service, WorkClass workClass) {}
+
     /** Learns the admitted fractions that the answer of a sub-call carried. */
-    synchronized void learn(Map<String, Double> levels) {
-        levels.forEach((service, f) -> mLevels.merge(service, f, Math::min));
+    synchronized void learn(Collection<ServiceLevel> levels) {
+        for (ServiceLevel l : levels) {
+            mLevels.merge(new LevelKey(l.service(), l.workClass()), l.fraction(), Math::min);
+        }
     }
 
-    /** Fractions of the services below that this request has reached. */
-    synchronized Map<String, Double> levels() {
-        return new HashMap<>(mLevels);
+    /** Fractions of the services that this request has reached. */
+    synchronized List<ServiceLevel> levels() {
+        return mLevels.entrySet().stream()
+                .map(
+                        e ->
+                                new ServiceLevel(
+                                        e.getKey().service(), e.getKey().workClass(), e.getValue()))
+                .toList();
     }
 }
