core: let estimates of a class expire, and judge cuts by Little's law

A cut during rising load was taken for one without effect. Change: an estimate is replaced only by five samples or more; a class without completions for a second uses the estimate of all classes; the work before a cut comes from Little's law; small servers adapt after fewer samples; the target is 50 ms or three service times, at most 300 ms.

--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -345,7 +345,7 @@
     private void roll(long now) {
         double seconds = (now - mWindowStart) / 1e9;
         mWindowStart = now;
-        mTimes.roll();
+        mTimes.roll(now);
         mLimit.roll(now);
         mDemand.roll(seconds);
         mPartners.dropIdle(now);
--- a/core/src/main/java/io/azurestage/core/admission/ConcurrencyLimit.java
+++ b/core/src/main/java/io/azurestage/core/admission/ConcurrencyLimit.java
@@ -17,7 +17,9 @@
     private static final double BASELINE_FALL = 0.1;
     private static final double LESS_WORK = 0.6;
     private static final double NO_EFFECT = 0.8;
-    private static final int MIN_SAMPLES = 50;
+    private static final int MIN_SAMPLES = 10;
+    private static final int ENOUGH_SAMPLES = 50;
+    private static final int SAMPLES_PER_SLOT = 2;
 
     /** In the first window after a start, only the fastest answers have arrived. */
     private static final int LEARNING_WINDOWS = 3;
@@ -28,7 +30,6 @@
 
     private final int mSlots;
     private final RunningMean mWindow = new RunningMean();
-    private final RunningMean mConcurrency = new RunningMean();
     private final RunningMean mLearnt = new RunningMean();
     private int mLearntWindows;
     private double mLimit;
@@ -38,7 +39,7 @@
     private boolean mRefused;
     private long mWindowStart;
     private long mSettled;
-    private double mConcurrencyBeforeCut;
+    private double mWorkBeforeCut;
     private double mLatencyBeforeCut;
 
     ConcurrencyLimit(int slots, long nowNanos) {
@@ -61,10 +62,7 @@
      */
     void completed(Completion c, int othersInFlight) {
         switch (c.outcome()) {
-            case ANSWERED -> {
-                mWindow.add(Math.max(1, c.ownNanos()));
-                mConcurrency.add(othersInFlight + 1);
-            }
+            case ANSWERED -> mWindow.add(Math.max(1, c.ownNanos()));
             case SERVER_REFUSED -> refused(othersInFlight);
             // A failure is often faster than an answer, and a cancelled request says nothing.
             default -> {}
@@ -83,7 +81,8 @@
             restart(nowNanos);
             return;
         }
-        if (mWindow.count() < MIN_SAMPLES && nowNanos - mWindowStart < MAX_WINDOW_NANOS) {
+        double needed = Math.max(MIN_SAMPLES, Math.min(ENOUGH_SAMPLES, SAMPLES_PER_SLOT * mLimit));
+        if (mWindow.count() < needed && nowNanos - mWindowStart < MAX_WINDOW_NANOS) {
             return;
         }
         if (mWindow.count() == 0) {
@@ -114,7 +113,7 @@
         double latency = mWindow.mean();
         double low = latency - CUT_ERRORS * mWindow.standardError();
         if (low <= TOLERANCE * mBaseline) {
-            mConcurrencyBeforeCut = 0;
+            mWorkBeforeCut = 0;
             adaptBaseline();
             if (latency <= GROWTH_TOLERANCE * mBaseline) {
                 grow();
@@ -124,28 +123,30 @@
             }
             return;
         }
-        if (cutHadNoEffect(latency)) {
+        // Little's law gives the work in progress that belongs to this latency. The requests in
+        // progress at the end of each answer would be too many while the load rises.
+        double work = mWindow.count() * latency / Math.max(1, nowNanos - mWindowStart);
+        if (cutHadNoEffect(latency, work)) {
             mBaseline = latency;
-            mConcurrencyBeforeCut = 0;
+            mWorkBeforeCut = 0;
             grow();
             return;
         }
-        cut(TOLERANCE * mBaseline / low, latency, nowNanos);
+        cut(TOLERANCE * mBaseline / low, latency, work, nowNanos);
     }
 
     /**
      * A server that is as slow with little work as with much is not slow because of its load; a
      * lower limit would only lower its throughput.
      */
-    private boolean cutHadNoEffect(double latency) {
-        boolean lessWork =
-                mConcurrency.mean() <= LESS_WORK * mConcurrencyBeforeCut || mLimit <= minLimit();
-        return mConcurrencyBeforeCut > 0 && lessWork && latency >= NO_EFFECT * mLatencyBeforeCut;
+    private boolean cutHadNoEffect(double latency, double work) {
+        boolean lessWork = work <= LESS_WORK * mWorkBeforeCut || mLimit <= minLimit();
+        return mWorkBeforeCut > 0 && lessWork && latency >= NO_EFFECT * mLatencyBeforeCut;
     }
 
-    private void cut(double gradient, double latency, long nowNanos) {
-        if (mConcurrency.mean() > mConcurrencyBeforeCut) {
-            mConcurrencyBeforeCut = mConcurrency.mean();
+    private void cut(double gradient, double latency, double work, long nowNanos) {
+        if (work > mWorkBeforeCut) {
+            mWorkBeforeCut = work;
             mLatencyBeforeCut = latency;
         }
         mLimit = Math.max(minLimit(), mLimit * Math.max(MIN_GRADIENT, gradient));
@@ -176,7 +177,6 @@
 
     private void restart(long nowNanos) {
         mWindow.clear();
-        mConcurrency.clear();
         mWindowStart = nowNanos;
     }
 
--- a/core/src/main/java/io/azurestage/core/admission/ServiceTimes.java
+++ b/core/src/main/java/io/azurestage/core/admission/ServiceTimes.java
@@ -5,6 +5,12 @@
 /** Time that work holds its slot, by class. */
 final class ServiceTimes {
     private static final double MIN_SAMPLES = 100;
+
+    /** Two slow answers in a row are no sign that the server has become slow. */
+    private static final double MIN_SHIFT_SAMPLES = 5;
+
+    private static final double MERGED_SAMPLES = 10;
+    private static final int MAX_GATHERED_WINDOWS = 5;
     private static final double KEEP_PER_WINDOW = 0.5;
     private static final double SHIFT_ERRORS = 4;
     private static final double DEADLINE_DEVIATIONS = 2;
@@ -15,6 +21,8 @@
     private final RunningMean[] mPast = new RunningMean[PartnerState.CLASSES];
     private final RunningMean[] mWindow = new RunningMean[PartnerState.CLASSES];
     private final RunningMean mAll = new RunningMean();
+    private final int[] mGathered = new int[PartnerState.CLASSES];
+    private final long[] mLastOfClass = new long[PartnerState.CLASSES];
     private long mLastNanos;
 
     ServiceTimes(long nowNanos) {
@@ -27,6 +35,7 @@
 
     void add(int workClass, long heldNanos, long nowNanos) {
         mWindow[workClass].add(Math.max(1, heldNanos));
+        mLastOfClass[workClass] = nowNanos;
         mLastNanos = nowNanos;
     }
 
@@ -36,12 +45,23 @@
     }
 
     /** Merges the samples of the last window into the estimate. */
-    void roll() {
-        mAll.clear();
+    void roll(long nowNanos) {
+        RunningMean all = new RunningMean();
         for (int c = 0; c < mPast.length; c++) {
-            merge(mPast[c], mWindow[c]);
-            mWindow[c].clear();
-            mAll.merge(mPast[c]);
+            mGathered[c]++;
+            boolean few = mWindow[c].count() < MERGED_SAMPLES;
+            if (mPast[c].count() == 0 || !few || mGathered[c] >= MAX_GATHERED_WINDOWS) {
+                merge(mPast[c], mWindow[c]);
+                mWindow[c].clear();
+                mGathered[c] = 0;
+            }
+            if (!isStale(c, nowNanos)) {
+                all.merge(mPast[c]);
+            }
+        }
+        if (all.count() > 0) {
+            mAll.clear();
+            mAll.merge(all);
         }
     }
 
@@ -59,17 +79,23 @@
     /**
      * Returns the time to allow for work that has to meet its deadline.
      *
-     * @return nanoseconds, 0 when nothing is known or the estimate is stale. An estimate that
-     *     refuses all work would otherwise never be corrected.
+     * @return nanoseconds, 0 when nothing is known or the server is idle for a second. An estimate
+     *     that refuses all work would otherwise never be corrected. For the same reason, the
+     *     estimate of a class without completions for a second is replaced by that of all classes.
      */
     double forDeadline(int workClass, boolean busy, long nowNanos) {
         if (!busy && nowNanos - mLastNanos > STALE_NANOS) {
             return 0;
         }
-        RunningMean past = mPast[workClass].count() >= 1 ? mPast[workClass] : mAll;
+        boolean stale = isStale(workClass, nowNanos);
+        RunningMean past = mPast[workClass].count() < 1 || stale ? mAll : mPast[workClass];
         return stalled(past.mean(), busy, nowNanos) + DEADLINE_DEVIATIONS * past.deviation();
     }
 
+    private boolean isStale(int workClass, long nowNanos) {
+        return nowNanos - mLastOfClass[workClass] > STALE_NANOS;
+    }
+
     /** Completions stop when a server hangs, so the mean of completed work alone would be stale. */
     private double stalled(double mean, boolean busy, long nowNanos) {
         long silent = nowNanos - mLastNanos;
@@ -82,7 +108,8 @@
             return;
         }
         double shift = Math.abs(window.mean() - past.mean());
-        if (past.count() > 0 && shift > SHIFT_ERRORS * error(past, window)) {
+        boolean enough = past.count() > 0 && window.count() >= MIN_SHIFT_SAMPLES;
+        if (enough && shift > SHIFT_ERRORS * error(past, window)) {
             past.clear();
         }
         double needed = Math.max(0, MIN_SAMPLES - window.count());
--- a/core/src/main/java/io/azurestage/core/admission/Tuning.java
+++ b/core/src/main/java/io/azurestage/core/admission/Tuning.java
@@ -18,5 +18,5 @@
         double targetServiceTimes,
         Duration horizon) {
     static final Tuning DEFAULT =
-            new Tuning(true, QueueOrder.FIFO, Duration.ofMillis(50), 2, Duration.ofMillis(500));
+            new Tuning(true, QueueOrder.FIFO, Duration.ofMillis(50), 3, Duration.ofMillis(500));
 }
--- a/core/src/main/java/io/azurestage/core/admission/WaitBound.java
+++ b/core/src/main/java/io/azurestage/core/admission/WaitBound.java
@@ -9,7 +9,7 @@
  */
 final class WaitBound {
     private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-    private static final double MAX_TARGET_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final double MAX_TARGET_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     private static final int MAX_LENGTH_PER_SLOT = 4;
     private static final int MIN_LENGTH = 4;
 
--- a/core/src/test/java/io/azurestage/core/admission/AdmissionControllerTest.java
+++ b/core/src/test/java/io/azurestage/core/admission/AdmissionControllerTest.java
@@ -138,6 +138,20 @@
             assertThat(offer("a", WorkClass.CRITICAL, 0.1, 400).mRuns).isEqualTo(1);
         }
 
+        // Guards against a class that is refused for good after a few slow answers, because the
+        // server stays busy with another class.
+        @Example
+        void anEstimateThatRefusesOneClassExpires() {
+            for (int i = 0; i < 5; i++) {
+                offer("a", WorkClass.NORMAL, 0.5, 5000);
+                end(0, 900);
+            }
+            for (int i = 0; i < 30; i++) {
+                learnServiceTime(10);
+            }
+            assertThat(offer("a", WorkClass.NORMAL, 0.1, 400).mRuns).isEqualTo(1);
+        }
+
         @Example
         void completingTwiceIsAnError() {
             Recorder r = offer("a", WorkClass.NORMAL, 0.5, 1000);
