Name the reasons of losses, and end bench when an experiment fails

Cause: an exception in an experiment left the process waiting for the threads of a half-started mesh; a class path without the node's classes hung for 400 s until it was stopped. Refusals were only counted in sum. Change: BenchMain reports the exception and exits with 1; reports name refusals by kind and losses by reason.

--- a/bench/src/main/java/io/azurestage/bench/BenchMain.java
+++ b/bench/src/main/java/io/azurestage/bench/BenchMain.java
@@ -25,9 +25,10 @@
  *
  * <p>The last line of the output is one JSON object with the figures by policy. With {@code --json}
  * it is the only output and has a time series for each policy. The exit status is 2 for wrong
- * arguments.
+ * arguments and 1 for an experiment that failed.
  */
 public final class BenchMain {
+    private static final int FAILED = 1;
     private static final int USAGE_ERROR = 2;
     private static final String DEFAULT_SECONDS = "10";
     private static final String DEFAULT_SEED = "1";
@@ -92,6 +93,10 @@
         } catch (ParseException | IllegalArgumentException e) {
             System.err.println("bench: " + e.getMessage());
             return USAGE_ERROR;
+        } catch (RuntimeException | LinkageError e) {
+            // Without a result the threads of a half-started mesh would keep the process alive.
+            e.printStackTrace();
+            return FAILED;
         }
     }
 
--- a/bench/src/main/java/io/azurestage/bench/Figures.java
+++ b/bench/src/main/java/io/azurestage/bench/Figures.java
@@ -147,6 +147,20 @@
         return counts;
     }
 
+    /** Returns how often each kind of refusal and each reason of a loss was seen. */
+    Map<String, Integer> reasons() {
+        Map<String, Integer> counts = new TreeMap<>();
+        for (Sample sample : mSamples) {
+            if (!sample.whole()) {
+                String text = sample.ending().verdict() + " " + sample.ending().detail();
+                // Ports, times and object ids would make every reason unique.
+                String reason = text.replaceAll("@[0-9a-f]+", "").replaceAll("[0-9]+", "N");
+                counts.merge(reason.substring(0, Math.min(60, reason.length())), 1, Integer::sum);
+            }
+        }
+        return counts;
+    }
+
     /** Returns for each second what ended in it: whole, refusals by kind, and the rest. */
     List<Map<String, Integer>> series() {
         List<Map<String, Integer>> seconds = new ArrayList<>();
--- a/bench/src/main/java/io/azurestage/bench/Overload.java
+++ b/bench/src/main/java/io/azurestage/bench/Overload.java
@@ -123,6 +123,7 @@
         report.put("cpu_cores", Round.to1(outcome.cpuCores()));
         report.put("sender_lag_p99_ms", Round.to1(figures.senderLagMs(99)));
         if (withSeries) {
+            report.put("reasons", figures.reasons());
             report.put("series", figures.series());
         }
         return report;
--- a/bench/src/main/java/io/azurestage/bench/Rolling.java
+++ b/bench/src/main/java/io/azurestage/bench/Rolling.java
@@ -74,6 +74,7 @@
         report.put("success_ratio", Round.to4(figures.success(s -> true)));
         report.put("p99_ms", Round.to1(figures.latencyMs(99, s -> true)));
         report.putAll(verdicts);
+        report.put("reasons", figures.reasons());
         return report;
     }
 
--- a/bench/src/main/java/io/azurestage/bench/Shares.java
+++ b/bench/src/main/java/io/azurestage/bench/Shares.java
@@ -101,6 +101,7 @@
                 "wasted_work_ratio",
                 Round.to4(outcome.ledger().summary(figures.wholeKeys()).wastedRatio()));
         report.putAll(figures.verdicts());
+        report.put("reasons", figures.reasons());
         report.put("cpu_cores", Round.to1(outcome.cpuCores()));
         report.put("sender_lag_p99_ms", Round.to1(figures.senderLagMs(99)));
         return report;
