Add the demo with a node process beside each backend server

Cause: nothing ran the whole path with separate processes. Figures are counted at the callers and the backend servers.

--- /dev/null
+++ b/bench/src/main/java/io/azurestage/bench/AdminClient.java
@@ -0,0 +1,96 @@
+package io.azurestage.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Reads the admin endpoints of nodes. Nodes that do not answer are left out. */
+final class AdminClient {
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final String AUTHORIZATION = "Authorization";
+
+    private final HttpClient mHttp =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(TIMEOUT)
+                    .build();
+    private final ObjectMapper mJson = new ObjectMapper();
+
+    /** Returns the status of each node without its members. */
+    Map<OutsideNode, JsonNode> statuses(Collection<OutsideNode> nodes) {
+        Map<OutsideNode, JsonNode> statuses = new LinkedHashMap<>();
+        texts(nodes, "/azurestage/v1/status?members=false")
+                .forEach((node, text) -> statuses.put(node, parse(text)));
+        return statuses;
+    }
+
+    /** Returns the metrics without labels of each node. */
+    Map<OutsideNode, Map<String, Double>> metrics(Collection<OutsideNode> nodes) {
+        Map<OutsideNode, Map<String, Double>> metrics = new LinkedHashMap<>();
+        texts(nodes, "/metrics").forEach((node, text) -> metrics.put(node, parseMetrics(text)));
+        return metrics;
+    }
+
+    static Map<String, Double> parseMetrics(String text) {
+        Map<String, Double> values = new HashMap<>();
+        text.lines()
+                .filter(line -> !line.startsWith("#") && line.indexOf('{') < 0)
+                .map(line -> line.split(" "))
+                .filter(parts -> parts.length >= 2)
+                .forEach(parts -> values.put(parts[0], Double.parseDouble(parts[1])));
+        return values;
+    }
+
+    /** Hands an accepted record to a node, as the command-line tool does. */
+    CompletableFuture<Integer> handOver(OutsideNode node, String record) {
+        return mHttp.sendAsync(
+                        HttpRequest.newBuilder(node.admin().resolve("/azurestage/v1/config"))
+                                .timeout(TIMEOUT)
+                                .header(AUTHORIZATION, "Bearer " + OutsideNode.OPERATOR_TOKEN)
+                                .header("Content-Type", "application/json")
+                                .POST(HttpRequest.BodyPublishers.ofString(record))
+                                .build(),
+                        HttpResponse.BodyHandlers.discarding())
+                .handle((answer, failure) -> failure == null ? answer.statusCode() : 0);
+    }
+
+    private Map<OutsideNode, String> texts(Collection<OutsideNode> nodes, String path) {
+        Map<OutsideNode, CompletableFuture<String>> calls = new LinkedHashMap<>();
+        nodes.forEach(node -> calls.put(node, text(node, path)));
+        Map<OutsideNode, String> texts = new LinkedHashMap<>();
+        calls.forEach(
+                (node, call) -> {
+                    String text = call.join();
+                    if (!text.isEmpty()) {
+                        texts.put(node, text);
+                    }
+                });
+        return texts;
+    }
+
+    private CompletableFuture<String> text(OutsideNode node, String path) {
+        return mHttp.sendAsync(
+                        HttpRequest.newBuilder(node.admin().resolve(path)).timeout(TIMEOUT).build(),
+                        HttpResponse.BodyHandlers.ofString())
+                .handle(
+                        (answer, failure) ->
+                                failure == null && answer.statusCode() == 200 ? answer.body() : "");
+    }
+
+    private JsonNode parse(String text) {
+        try {
+            return mJson.readTree(text);
+        } catch (IOException e) {
+            throw new IllegalStateException("a node sent a status that is not JSON", e);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/azurestage/bench/DemoMesh.java
@@ -0,0 +1,188 @@
+package io.azurestage.bench;
+
+import io.azurestage.bench.standin.Downstream;
+import io.azurestage.bench.standin.StandInBackend;
+import io.azurestage.bench.standin.StandInRuntime;
+import io.azurestage.bench.standin.StandInStore;
+import io.azurestage.bench.standin.WorkLedger;
+import io.azurestage.config.MeshConfig;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Stand-ins of the demo in this process, and the nodes that the script starts beside them. The two
+ * sides talk through files in a folder: {@code NODE.json} are settings, {@code start} tells the
+ * script that all of them are there, {@code NODE.out} is the output of a node, {@code leave} names
+ * a node to end with SIGTERM, and {@code NODE.exit} gets its exit code.
+ */
+final class DemoMesh implements AutoCloseable {
+    private static final Duration START_LIMIT = Duration.ofSeconds(25);
+    private static final Duration LEAVE_LIMIT = Duration.ofSeconds(15);
+    private static final int BACKEND_QUEUE = 1_000;
+    private static final int CONNECTIONS = 400;
+
+    private final Path mFolder;
+    private final WorkLedger mLedger = new WorkLedger();
+    private final StandInRuntime mRuntime = new StandInRuntime(CONNECTIONS);
+    private final StandInStore mStore = StandInStore.start();
+    private final Map<String, StandInBackend> mBackends = new LinkedHashMap<>();
+    private final Map<String, OutsideNode> mNodes = new LinkedHashMap<>();
+    private final AdminClient mAdmin = new AdminClient();
+
+    DemoMesh(Path folder) {
+        mFolder = folder;
+    }
+
+    StandInStore store() {
+        return mStore;
+    }
+
+    WorkLedger ledger() {
+        return mLedger;
+    }
+
+    AdminClient admin() {
+        return mAdmin;
+    }
+
+    synchronized List<OutsideNode> nodes() {
+        return List.copyOf(mNodes.values());
+    }
+
+    List<URI> entries() {
+        return nodes().stream().map(n -> URI.create("http://" + n.ingress())).toList();
+    }
+
+    MeshConfig config(List<MeshSettings.Share> shares) {
+        // Both partners call the same operations; each operation is listed once.
+        List<Flow> flows =
+                DemoPlan.load().flows().stream()
+                        .filter(f -> f.partner().equals(DemoPlan.OTHER))
+                        .toList();
+        return AzurestagePolicy.config(
+                new MeshSettings(
+                        DemoPlan.TOPOLOGY,
+                        shares,
+                        flows,
+                        mRuntime,
+                        mLedger,
+                        Duration.ofSeconds(1),
+                        DemoPlan.SEED));
+    }
+
+    /** Starts the backend servers, lets the script start the nodes and waits for the whole mesh. */
+    void start() throws IOException {
+        AzurestagePolicy.push(mStore, config(DemoPlan.FIRST_SPLIT));
+        List<Topology.Service> services = DemoPlan.TOPOLOGY.services();
+        for (int i = 0; i < services.size(); i++) {
+            for (int j = 0; j < services.get(i).servers(); j++) {
+                add(i, j);
+            }
+        }
+        signal("start", String.join("\n", mBackends.keySet()) + "\n");
+        long end = System.nanoTime() + START_LIMIT.toNanos();
+        for (var item : mBackends.entrySet()) {
+            OutsideNode node = awaitNode(item.getKey(), end);
+            URI egress = URI.create("http://" + node.egress());
+            item.getValue().downstream(Downstream.egress(egress, mRuntime));
+            mNodes.put(item.getKey(), node);
+        }
+        while (!isWhole()) {
+            checkTime(end, "the nodes did not find each other in time");
+        }
+    }
+
+    private void add(int service, int server) throws IOException {
+        Topology topology = DemoPlan.TOPOLOGY;
+        StandInBackend backend =
+                StandInBackend.start(
+                        topology.spec(service, server, BACKEND_QUEUE, DemoPlan.SEED),
+                        mRuntime,
+                        mLedger);
+        Topology.Service s = topology.services().get(service);
+        String id = s.name() + "-" + server;
+        mBackends.put(id, backend);
+        OutsideNode.writeSettings(
+                mFolder.resolve(id + ".json"),
+                new OutsideNode.Place(id, "dc" + server, "region", s, backend.address()),
+                mStore.uri(),
+                List.of());
+    }
+
+    private OutsideNode awaitNode(String id, long end) throws IOException {
+        OutsideNode node = OutsideNode.read(mFolder.resolve(id + ".out"));
+        while (node == null) {
+            checkTime(end, "node " + id + " did not start in time");
+            node = OutsideNode.read(mFolder.resolve(id + ".out"));
+        }
+        return node;
+    }
+
+    private boolean isWhole() {
+        var statuses = mAdmin.statuses(mNodes.values());
+        var metrics = mAdmin.metrics(mNodes.values());
+        return statuses.size() == mNodes.size()
+                && statuses.values().stream()
+                        .allMatch(s -> s.path("state").asText().equals("SERVING"))
+                && metrics.values().stream()
+                        .allMatch(m -> m.get("azurestage_members") == mNodes.size());
+    }
+
+    private static void checkTime(long end, String message) {
+        if (System.nanoTime() - end > 0) {
+            throw new IllegalStateException(message);
+        }
+        Sleep.millis(20);
+    }
+
+    /** Lets the script end the node of a service's first server and waits for the node's end. */
+    DemoCheck.Leaving leave(String service, Runnable leaving) throws IOException {
+        String id = service + "-0";
+        StandInBackend backend = mBackends.get(id);
+        synchronized (this) {
+            mNodes.remove(id);
+        }
+        leaving.run();
+        long left = System.nanoTime();
+        signal("leave", id);
+        long end = left + LEAVE_LIMIT.toNanos();
+        Path exit = mFolder.resolve(id + ".exit");
+        while (!Files.exists(exit)) {
+            checkTime(end, "node " + id + " did not end after SIGTERM");
+        }
+        int inProgress = backend.inProgress();
+        int exitCode = Integer.parseInt(Files.readString(exit).strip());
+        long last = Mesh.Replaced.of(left, backend, inProgress).lastNewWorkMs();
+        return new DemoCheck.Leaving(left, System.nanoTime(), exitCode, last, inProgress);
+    }
+
+    /** Writes a file in one step, so that the script never sees a part of it. */
+    private void signal(String name, String text) throws IOException {
+        Path part = mFolder.resolve(name + ".part");
+        Files.writeString(part, text);
+        Files.move(part, mFolder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** Waits until no backend server has work, at most for the given time. */
+    void awaitIdle(Duration limit) {
+        long end = System.nanoTime() + limit.toNanos();
+        while (new ArrayList<>(mBackends.values()).stream().anyMatch(b -> b.inProgress() > 0)) {
+            checkTime(end, "the backend servers still had work after the load had ended");
+        }
+    }
+
+    @Override
+    public void close() {
+        mBackends.values().forEach(StandInBackend::close);
+        mRuntime.close();
+        mStore.close();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/azurestage/bench/DemoPlan.java
@@ -0,0 +1,110 @@
+package io.azurestage.bench;
+
+import io.azurestage.client.CallClass;
+import java.time.Duration;
+import java.util.List;
+
+/** Topology, load and times of the demo. */
+final class DemoPlan {
+    static final int RETRY_ALLOWANCE = 3;
+    static final long SEED = 1;
+
+    /** Times in seconds from the start of the load. */
+    static final double SURGE_AT = 6;
+
+    static final double PUSH_AT = 10;
+    static final double LEAVE_AT = 18;
+    static final double OUTAGE_AT = 22;
+    static final double OUTAGE_PUSH_AT = 23;
+    static final double OUTAGE_END_AT = 26;
+
+    static final String SURGING = "die-works";
+    static final String OTHER = "hire-house";
+
+    /** Name of the service that one server leaves. */
+    static final String LEAVING_SERVICE = "ledger-archive";
+
+    static final Topology TOPOLOGY =
+            new Topology(
+                    List.of(
+                            service("booking-register", 60, 5),
+                            service(LEAVING_SERVICE, 40, 5),
+                            service("stable-return-keeper", 5, 20)));
+
+    static final List<MeshSettings.Share> FIRST_SPLIT =
+            List.of(new MeshSettings.Share(OTHER, 60, 10), new MeshSettings.Share(SURGING, 40, 10));
+    static final List<MeshSettings.Share> SECOND_SPLIT =
+            List.of(new MeshSettings.Share(OTHER, 70, 10), new MeshSettings.Share(SURGING, 30, 10));
+
+    private static final Duration DEADLINE = Duration.ofMillis(1_000);
+    private static final int IMPATIENT_REPEATS = 3;
+
+    /** Processes that have just started run slowly until their code is compiled. */
+    private static final double WARM_UP_PART = 0.2;
+
+    private DemoPlan() {}
+
+    private static Topology.Service service(String name, int slots, int millis) {
+        return new Topology.Service(name, 2, slots, Duration.ofMillis(millis), 400);
+    }
+
+    /**
+     * Returns the load. The impatient callers repeat reads only: whoever repeats a write with a new
+     * ticket asks for it to run twice.
+     */
+    static LoadPlan load() {
+        return new LoadPlan(
+                List.of(
+                        new Phase("warm-up", Duration.ofSeconds(3)),
+                        new Phase("steady", Duration.ofSeconds(3)),
+                        new Phase("surge", Duration.ofSeconds(9)),
+                        new Phase("after", Duration.ofSeconds(13))),
+                List.of(
+                        flow(OTHER, CallClass.CRITICAL, "POST", "/bookings", 40, 40, 0),
+                        flow(OTHER, CallClass.NORMAL, "GET", "/checks", 40, 40, 0),
+                        flow(OTHER, CallClass.BROWSING, "GET", "/catalogue", 40, 40, 0),
+                        flow(SURGING, CallClass.CRITICAL, "POST", "/bookings", 20, 80, 0),
+                        flow(
+                                SURGING,
+                                CallClass.NORMAL,
+                                "GET",
+                                "/checks",
+                                30,
+                                300,
+                                IMPATIENT_REPEATS),
+                        flow(
+                                SURGING,
+                                CallClass.BROWSING,
+                                "GET",
+                                "/catalogue",
+                                30,
+                                300,
+                                IMPATIENT_REPEATS)),
+                true,
+                DEADLINE,
+                SEED);
+    }
+
+    private static Flow flow(
+            String partner,
+            CallClass workClass,
+            String method,
+            String path,
+            double rate,
+            double surge,
+            int repeats) {
+        return new Flow(
+                partner,
+                workClass,
+                method,
+                path,
+                List.of(rate * WARM_UP_PART, rate, surge, rate),
+                repeats);
+    }
+
+    /** Returns the requests each second that the slowest service carries with one server less. */
+    static double criticalCapacity() {
+        Topology.Service slowest = TOPOLOGY.slowest();
+        return slowest.capacity() * (slowest.servers() - 1) / slowest.servers();
+    }
+}
--- a/bench/src/main/java/io/azurestage/bench/MeshCaller.java
+++ b/bench/src/main/java/io/azurestage/bench/MeshCaller.java
@@ -23,10 +23,21 @@
     private final Map<String, AzurestageClient> mClients = new HashMap<>();
 
     MeshCaller(Mesh mesh, List<String> chain, List<String> partners, long seed) {
+        this(mesh.entries(), mesh.tickets(), mesh.tickets() ? 2 : 1, chain, partners, seed);
+    }
+
+    /** Calls entries directly, with a bound on the attempts that the callers' library makes. */
+    MeshCaller(
+            List<URI> entries,
+            boolean tickets,
+            int attempts,
+            List<String> chain,
+            List<String> partners,
+            long seed) {
         mChain = List.copyOf(chain);
-        mTickets = mesh.tickets();
+        mTickets = tickets;
         for (String partner : partners) {
-            mClients.put(partner, client(mesh.entries(), partner, mTickets ? 2 : 1, seed));
+            mClients.put(partner, client(entries, partner, attempts, seed));
         }
     }
 
--- /dev/null
+++ b/bench/src/main/java/io/azurestage/bench/StatusPoller.java
@@ -0,0 +1,39 @@
+package io.azurestage.bench;
+
+import java.util.Collection;
+import java.util.function.Supplier;
+
+/** Asks nodes for their status again and again on a thread of its own. */
+final class StatusPoller implements AutoCloseable {
+    private final Thread mThread;
+    private volatile boolean mClosed;
+
+    StatusPoller(
+            AdminClient admin,
+            Supplier<Collection<OutsideNode>> nodes,
+            ConfigWatch watch,
+            long pauseMillis) {
+        mThread =
+                new Thread(
+                        () -> {
+                            while (!mClosed) {
+                                watch.observe(
+                                        admin.statuses(nodes.get()), System.currentTimeMillis());
+                                Sleep.millis(pauseMillis);
+                            }
+                        },
+                        "status-poller");
+        mThread.setDaemon(true);
+        mThread.start();
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        try {
+            mThread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/bench/src/main/java/io/azurestage/bench/standin/WorkLedger.java
+++ b/bench/src/main/java/io/azurestage/bench/standin/WorkLedger.java
@@ -115,6 +115,22 @@
         return new Summary(work, wasted, runs, maxRetries, duplicated);
     }
 
+    /**
+     * Reports whether any service has started work for a request.
+     *
+     * @param key text of a request key
+     * @return true if it has run at least in part
+     */
+    public boolean hasRun(String key) {
+        Entry entry = mEntries.get(key);
+        if (entry == null) {
+            return false;
+        }
+        synchronized (entry) {
+            return entry.mCounts.values().stream().anyMatch(count -> count.mStarted > 0);
+        }
+    }
+
     private static long beyondFirst(Count count) {
         return count.mStarted < 2 ? 0 : count.mNanos - count.mNanos / count.mStarted;
     }
