Test the counting and the checks of the demo

Cause: a check that passes over a broken property would make the demo end with exit code 0. Change: tests of the figures, of each property message, of the spread and of the start line. Conclusion: each property that the demo checks has a test that breaks it, apart from the ledger.

--- /dev/null
+++ b/bench/src/test/java/io/azurestage/bench/DemoCheckTest.java
@@ -0,0 +1,147 @@
+package io.azurestage.bench;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.bench.standin.WorkLedger;
+import io.azurestage.client.CallClass;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class DemoCheckTest {
+    private static final long MS = 1_000_000;
+    private static final DemoCheck.Leaving CLEAN =
+            new DemoCheck.Leaving(10_000 * MS, 12_000 * MS, 0, 900, 0);
+
+    private static CallLog.Attempt attempt(
+            CallClass workClass, long sentMillis, Verdict verdict, String detail) {
+        return new CallLog.Attempt(
+                "r" + sentMillis + ".0",
+                "p",
+                workClass,
+                sentMillis * MS,
+                (sentMillis + 10) * MS,
+                new Ending(verdict, detail));
+    }
+
+    private static DemoCheck.Seen seen(double capacity, DemoCheck.Leaving leaving) {
+        return new DemoCheck.Seen(3, capacity, 300, 0, true, leaving);
+    }
+
+    private static DemoCheck check(CallLog.Attempt... attempts) {
+        return new DemoCheck(List.of(attempts), new WorkLedger(), seen(100, CLEAN));
+    }
+
+    /** Guards against a check that reports a property which held. */
+    @Test
+    void reportsNothingWhenEverythingIsWhole() {
+        DemoCheck check = check(attempt(CallClass.CRITICAL, 0, Verdict.WHOLE, ""));
+        assertThat(check.broken()).isEmpty();
+        assertThat(check.figures()).containsEntry("whole", 1L).containsEntry("partial", 0L);
+    }
+
+    /** Guards against a broken property that ends with exit code 0, one for each property. */
+    @ParameterizedTest
+    @CsvSource({
+        "PARTIAL,'',P3 partial",
+        "MISDELIVERED,'',P3 misdelivered",
+        "UNKNOWN,connection lost,P7 cut off",
+        "ERROR,status 500,P7 cut off"
+    })
+    void namesThePropertyThatAnEndingBreaks(Verdict verdict, String detail, String property) {
+        DemoCheck check = check(attempt(CallClass.NORMAL, 11_000, verdict, detail));
+        assertThat(check.broken()).singleElement().asString().startsWith(property);
+    }
+
+    /** Guards against faults beside the calls that are measured but not checked. */
+    @ParameterizedTest
+    @CsvSource({
+        "300,0,true,0,3001,0,P6",
+        "300,0,true,0,900,1,P7 cut off",
+        "300,0,true,1,900,0,P7 leaving",
+        "4001,0,true,0,900,0,P8 spread",
+        "-1,0,true,0,900,0,P8 spread",
+        "300,1,true,0,900,0,P8 reverts",
+        "300,0,false,0,900,0,P8 outage"
+    })
+    void namesThePropertyThatTheMeshBreaks(
+            long spread,
+            int reverts,
+            boolean held,
+            int exit,
+            long newWork,
+            int inProgress,
+            String property) {
+        DemoCheck.Leaving leaving =
+                new DemoCheck.Leaving(10_000 * MS, 12_000 * MS, exit, newWork, inProgress);
+        DemoCheck.Seen seen = new DemoCheck.Seen(3, 100, spread, reverts, held, leaving);
+        assertThat(new DemoCheck(List.of(), new WorkLedger(), seen).broken())
+                .singleElement()
+                .asString()
+                .startsWith(property);
+    }
+
+    /** Guards against counts of shed work that miss refusals deeper in the chain. */
+    @Test
+    void countsRefusalsAtTheEntryAndDeeper() {
+        Map<String, Object> figures =
+                check(
+                                attempt(CallClass.BROWSING, 0, Verdict.REFUSED, "overloaded"),
+                                attempt(
+                                        CallClass.BROWSING,
+                                        1,
+                                        Verdict.UNKNOWN,
+                                        "dependency-failed"),
+                                attempt(CallClass.BROWSING, 2, Verdict.UNKNOWN, "lost"))
+                        .figures();
+        assertThat(figures)
+                .containsEntry("browsing_refused", 2L)
+                .containsEntry("refused_not_run", 1L)
+                .containsEntry("unknown", 2L);
+    }
+
+    @Nested
+    class ClassOrder {
+        private final CallLog.Attempt mShed =
+                attempt(CallClass.CRITICAL, 1_000, Verdict.REFUSED, "overloaded");
+
+        private long early(double capacity, CallLog.Attempt... attempts) {
+            return new DemoCheck(List.of(attempts), new WorkLedger(), seen(capacity, CLEAN))
+                    .criticalShedEarly(CallClass.BROWSING);
+        }
+
+        /** Guards against critical work that is refused beside browsing without a report. */
+        @Test
+        void countsARefusalBesideServedBrowsing() {
+            assertThat(early(100, mShed, attempt(CallClass.BROWSING, 1_400, Verdict.WHOLE, "")))
+                    .isEqualTo(1);
+        }
+
+        /** Guards against reports where critical work alone exceeds the capacity. */
+        @Test
+        void passesWhenCriticalDemandDoesNotFit() {
+            assertThat(
+                            early(
+                                    1,
+                                    mShed,
+                                    attempt(CallClass.CRITICAL, 900, Verdict.WHOLE, ""),
+                                    attempt(CallClass.BROWSING, 1_000, Verdict.WHOLE, "")))
+                    .isZero();
+        }
+
+        /** Guards against reports about browsing that was refused, or served at another time. */
+        @Test
+        void passesWhenNoBrowsingIsServedAtThatTime() {
+            assertThat(
+                            early(
+                                    100,
+                                    mShed,
+                                    attempt(CallClass.BROWSING, 1_000, Verdict.REFUSED, ""),
+                                    attempt(CallClass.BROWSING, 1_600, Verdict.WHOLE, "")))
+                    .isZero();
+        }
+    }
+}
