Resume a broken GET on another backend server

The node aborted every broken transfer.

Change: Resumption counts the bytes that reached the caller. After a break, Forwarding takes one retry of the allowance and asks another backend server for the rest with Range and If-Range. Only a 206 whose Content-Range starts at the next byte and ends at the last one, and whose ETag is the same, continues the answer; anything else aborts the transfer. A break waits for the write in progress, so that no byte is passed on twice.

Before: a GET of 2 MiB that breaks after 1.5 MiB ends in an abort.

Conclusion: long transfers survive the loss of a backend server that offers a validator, within the retry allowance.

--- /dev/null
+++ b/node/src/main/java/io/azurestage/node/DroppedStream.java
@@ -0,0 +1,18 @@
+package io.azurestage.node;
+
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+
+/** Refuses the parts of an answer that nobody takes. */
+final class DroppedStream implements StreamSink {
+    @Override
+    public void write(ByteBuffer part, Runnable written, Consumer<Throwable> failed) {
+        failed.accept(new IllegalStateException("the answer was dropped"));
+    }
+
+    @Override
+    public void end() {}
+
+    @Override
+    public void abort(Throwable cause) {}
+}
--- a/node/src/main/java/io/azurestage/node/Forwarding.java
+++ b/node/src/main/java/io/azurestage/node/Forwarding.java
@@ -13,6 +13,7 @@
 import io.azurestage.core.routing.AttemptResult;
 import io.azurestage.core.routing.Endpoint;
 import io.azurestage.core.routing.Pick;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Map;
@@ -26,6 +27,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpFields;
 
 /** One call on its way to a backend server of another service, over all of its attempts. */
 final class Forwarding {
@@ -44,6 +46,7 @@
     private Optional<Ticket> mOwnTicket = Optional.empty();
     private int mRetries;
     private boolean mMayHaveRun;
+    private volatile Resumption mTransfer;
 
     Forwarding(
             Shared shared,
@@ -78,7 +81,7 @@
         }
         Optional<Pick> pick = pick();
         if (pick.isEmpty()) {
-            mSink.refuse(ticket().isPresent() ? ownerGone() : settle(ifNone));
+            finish(ticket().isPresent() ? Refusal.ownerGone() : settle(ifNone));
             return;
         }
         send(pick.get(), left);
@@ -128,13 +131,7 @@
                 mClient.newRequest("http://" + e.address() + mCall.target())
                         .method(mCall.method())
                         .timeout(left + DEADLINE_SLACK_NANOS, TimeUnit.NANOSECONDS)
-                        .headers(
-                                h -> {
-                                    h.add(mCall.headers());
-                                    h.put(Headers.SERVICE, mCall.service());
-                                    h.put(Headers.CONTEXT, mShared.contexts().encode(ctx));
-                                    ticket().ifPresent(t -> putTicket(h, t));
-                                });
+                        .headers(h -> fill(h, ctx));
         if (mCall.body().length > 0) {
             // The Content-Type travels with the end-to-end header fields.
             r.body(new BytesRequestContent((String) null, mCall.body()));
@@ -142,8 +139,14 @@
         return r;
     }
 
-    private void putTicket(org.eclipse.jetty.http.HttpFields.Mutable h, Ticket t) {
-        h.put(Headers.IDEMPOTENCY_KEY, t.encode(mShared.signer()));
+    private void fill(HttpFields.Mutable h, RequestContext ctx) {
+        h.add(mCall.headers());
+        h.put(Headers.SERVICE, mCall.service());
+        h.put(Headers.CONTEXT, mShared.contexts().encode(ctx));
+        ticket().ifPresent(t -> h.put(Headers.IDEMPOTENCY_KEY, t.encode(mShared.signer())));
+        if (mTransfer != null) {
+            mTransfer.ask(h);
+        }
     }
 
     private RequestContext context(Endpoint e, int lent) {
@@ -162,11 +165,6 @@
                 mShared.clock().tick());
     }
 
-    private static Refusal ownerGone() {
-        return Refusal.unknown(
-                RefusalKind.TICKET_UNKNOWN, "the node that the ticket names is not alive");
-    }
-
     /**
      * The final refusal: not-run only if no attempt may have run. With the caller's ticket an
      * earlier call may have run too, so only the owner can say not-run.
@@ -177,7 +175,16 @@
     }
 
     private void refuse(RefusalKind kind, String detail) {
-        mSink.refuse(settle(Refusal.notRun(kind, detail)));
+        finish(settle(Refusal.notRun(kind, detail)));
+    }
+
+    /** Refuses; an answer that has begun can only be cut off. */
+    private void finish(Refusal r) {
+        if (mTransfer == null) {
+            mSink.refuse(r);
+        } else {
+            mTransfer.abort(new IOException(r.detail()));
+        }
     }
 
     /** Retries if the policy allows it and a retry is left, or else refuses. */
@@ -195,7 +202,7 @@
                                 mAllowance.left()),
                         ThreadLocalRandom.current());
         if (d instanceof RetryDecision.GiveUp || !mAllowance.tryRetry()) {
-            mSink.refuse(ifGivenUp);
+            finish(ifGivenUp);
             return;
         }
         mRetries++;
@@ -240,7 +247,11 @@
             learn(m);
             if (m.kind().isEmpty()) {
                 report(AttemptResult.ANSWERED, m.load());
-                mSink.whole(r.getStatus(), Headers.endToEnd(r.getHeaders(), true), body);
+                if (mTransfer == null) {
+                    mSink.whole(r.getStatus(), Headers.endToEnd(r.getHeaders(), true), body);
+                } else {
+                    mTransfer.last(r, body);
+                }
                 return;
             }
             refused(m, RefusalKind.parse(m.kind()), retryAfter(r));
@@ -263,19 +274,11 @@
             // The owner of a ticket seals it before it says not-run, so that is certain.
             Refusal certain = ticket().isPresent() ? r : settle(r);
             if (!notRun) {
-                mSink.refuse(certain);
+                finish(certain);
                 return;
             }
             boolean ownerOnly = mCall.ticket().isPresent();
-            afterFailure(outcome(kind, retryAfter), ownerOnly, mPick.endpoint(), certain);
-        }
-
-        private AttemptOutcome outcome(RefusalKind kind, Duration retryAfter) {
-            return switch (kind) {
-                case DRAINING -> new AttemptOutcome.Draining();
-                case NOT_READY, NO_BACKEND_SERVER -> new AttemptOutcome.RefusedNotRun();
-                default -> new AttemptOutcome.RefusedOverloaded(retryAfter);
-            };
+            afterFailure(kind.outcome(retryAfter), ownerOnly, mPick.endpoint(), certain);
         }
 
         @Override
@@ -283,14 +286,23 @@
             Optional<AnswerMeta> meta = meta(r);
             if (meta.isEmpty()) {
                 r.abort(new IllegalStateException("the answer belongs to another attempt"));
-                return new Ignore();
+                return new DroppedStream();
             }
             learn(meta.get());
             report(AttemptResult.ANSWERED, meta.get().load());
-            mStream = mSink.stream(r.getStatus(), Headers.endToEnd(r.getHeaders(), true));
+            mStream = part(r);
             return mStream;
         }
 
+        private StreamSink part(Response r) {
+            if (mTransfer != null) {
+                return mTransfer.next(r).orElseGet(DroppedStream::new);
+            }
+            HttpFields headers = Headers.endToEnd(r.getHeaders(), true);
+            mTransfer = Resumption.start(mCall, r, mSink.stream(r.getStatus(), headers));
+            return mTransfer.first();
+        }
+
         @Override
         public void streamEnded(Response r) {
             mStream.end();
@@ -306,7 +318,7 @@
                     mCall.partner(),
                     Map.of("to", mPick.endpoint().node().nodeId(), "cause", String.valueOf(cause)));
             if (mStream != null) {
-                mStream.abort(cause);
+                mTransfer.broken(() -> resume(cause, cancelled));
                 return;
             }
             if (!sent) {
@@ -317,6 +329,15 @@
             giveUpOrRetry(cause, sent, cancelled);
         }
 
+        private void resume(Throwable cause, boolean cancelled) {
+            if (cancelled || cause instanceof TimeoutException || !mTransfer.isResumable()) {
+                mTransfer.abort(cause);
+                return;
+            }
+            Refusal r = Refusal.unknown(RefusalKind.BROKEN_ANSWER, "the answer broke off");
+            afterFailure(new AttemptOutcome.LostAnswer(), false, mPick.endpoint(), r);
+        }
+
         private void giveUpOrRetry(Throwable cause, boolean sent, boolean cancelled) {
             if (cancelled) {
                 refuse(RefusalKind.CANCELLED, "the caller went away");
@@ -365,10 +386,8 @@
         }
 
         private Duration retryAfter(Response r) {
-            return mShared.answers().decode(r.getHeaders().get(Headers.ANSWER)).isPresent()
-                    ? Duration.ofMillis(
-                            Math.max(0, r.getHeaders().getLongField(Headers.RETRY_AFTER_MS)))
-                    : Duration.ZERO;
+            return Duration.ofMillis(
+                    Math.max(0, r.getHeaders().getLongField(Headers.RETRY_AFTER_MS)));
         }
 
         private void report(AttemptResult result, double load) {
@@ -377,21 +396,4 @@
             }
         }
     }
-
-    /** Takes the rest of an answer that was dropped. */
-    private static final class Ignore implements StreamSink {
-        @Override
-        public void write(
-                java.nio.ByteBuffer part,
-                Runnable written,
-                java.util.function.Consumer<Throwable> failed) {
-            failed.accept(new IllegalStateException("the answer was dropped"));
-        }
-
-        @Override
-        public void end() {}
-
-        @Override
-        public void abort(Throwable cause) {}
-    }
 }
--- a/node/src/main/java/io/azurestage/node/Refusal.java
+++ b/node/src/main/java/io/azurestage/node/Refusal.java
@@ -32,6 +32,11 @@
         return new Refusal(kind, Ran.UNKNOWN, Duration.ZERO, detail);
     }
 
+    /** Nobody but the owner of a ticket knows whether the request ran. */
+    static Refusal ownerGone() {
+        return unknown(RefusalKind.TICKET_UNKNOWN, "the node that the ticket names is not alive");
+    }
+
     /** The same refusal without the promise that nothing ran. */
     Refusal maybeRan() {
         return new Refusal(kind, Ran.UNKNOWN, retryAfter, detail);
--- a/node/src/main/java/io/azurestage/node/RefusalKind.java
+++ b/node/src/main/java/io/azurestage/node/RefusalKind.java
@@ -1,5 +1,7 @@
 package io.azurestage.node;
 
+import io.azurestage.core.retry.AttemptOutcome;
+import java.time.Duration;
 import java.util.Locale;
 
 /** Kinds of refusals, with their HTTP status and what the caller can do. */
@@ -44,6 +46,15 @@
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
+    /** What a refusal of this kind before running means for a retry. */
+    AttemptOutcome outcome(Duration retryAfter) {
+        return switch (this) {
+            case DRAINING -> new AttemptOutcome.Draining();
+            case NOT_READY, NO_BACKEND_SERVER -> new AttemptOutcome.RefusedNotRun();
+            default -> new AttemptOutcome.RefusedOverloaded(retryAfter);
+        };
+    }
+
     static RefusalKind parse(String text) {
         for (RefusalKind k : values()) {
             if (k.text().equals(text)) {
--- a/node/src/main/java/io/azurestage/node/ResponseSink.java
+++ b/node/src/main/java/io/azurestage/node/ResponseSink.java
@@ -69,7 +69,7 @@
     @Override
     public StreamSink stream(int status, HttpFields headers) {
         if (!mAnswered.compareAndSet(false, true)) {
-            return new Discard();
+            return new DroppedStream();
         }
         start(status, headers);
         return new Stream();
@@ -108,18 +108,4 @@
             mCallback.failed(cause);
         }
     }
-
-    /** Swallows an answer that came after the final one. */
-    private static final class Discard implements StreamSink {
-        @Override
-        public void write(ByteBuffer part, Runnable written, Consumer<Throwable> failed) {
-            failed.accept(new IllegalStateException("the call has its answer already"));
-        }
-
-        @Override
-        public void end() {}
-
-        @Override
-        public void abort(Throwable cause) {}
-    }
 }
--- a/node/src/test/java/io/azurestage/node/TestMesh.java
+++ b/node/src/test/java/io/azurestage/node/TestMesh.java
@@ -22,18 +22,25 @@
     private final HttpClient mClient = new HttpClient();
     private final List<Endpoint> mEndpoints = new ArrayList<>();
     private final MeshConfig mConfig;
+    private final TimeSource mTime;
 
     TestMesh() throws Exception {
-        mConfig = config();
+        this(TimeSource.system(), 3);
+    }
+
+    TestMesh(TimeSource time, int retryAllowance) throws Exception {
+        mTime = time;
+        mConfig = config(retryAllowance);
         mClient.start();
         for (int i = 0; i < CHAIN.size(); i++) {
             add(CHAIN.get(i), i + 1 < CHAIN.size() ? CHAIN.get(i + 1) : "");
         }
     }
 
-    private static MeshConfig config() {
+    private static MeshConfig config(int retryAllowance) {
         ConfigBuilder b =
                 Azurestage.config()
+                        .retryAllowance(retryAllowance)
                         .partner("hire", p -> p.share(60).credential(CREDENTIAL))
                         .partner("die", p -> p.share(40).credential("another credential"));
         for (String s : CHAIN) {
@@ -59,7 +66,7 @@
         DataPlane node =
                 DataPlane.start(
                         settings("node-" + mNodes.size(), service, backend.address()),
-                        TimeSource.system(),
+                        mTime,
                         e -> {});
         backend.egress(node.egress());
         mBackends.add(backend);
