Forget the chains that answered longest ago

Cause: levels are shared between chains, so all chains had the same age and the table forgot any of them. Change: each chain keeps the time of its last answer.

--- a/core/src/main/java/io/azurestage/core/admission/ChainLevels.java
+++ b/core/src/main/java/io/azurestage/core/admission/ChainLevels.java
@@ -51,7 +51,7 @@
                 key,
                 (k, old) -> {
                     ChainState state = old == null ? new ChainState(table, now) : old;
-                    levels.forEach(l -> state.reaches(l.service()));
+                    levels.forEach(l -> state.reaches(l.service(), now));
                     return state.isExpired(now) ? null : state;
                 });
         if (mEntries.size() > MAX_CHAINS) {
@@ -119,7 +119,7 @@
         }
         // Learning goes on meanwhile, so the times are read once to keep the order consistent.
         Map<ChainKey, Long> silent = new HashMap<>();
-        mEntries.forEach((key, state) -> silent.put(key, now - state.learntNanos()));
+        mEntries.forEach((key, state) -> silent.put(key, now - state.answeredNanos()));
         silent.entrySet().stream()
                 .sorted(Map.Entry.<ChainKey, Long>comparingByValue().reversed())
                 .limit(EVICTED_AT_ONCE)
--- a/core/src/main/java/io/azurestage/core/admission/ChainState.java
+++ b/core/src/main/java/io/azurestage/core/admission/ChainState.java
@@ -22,15 +22,19 @@
     private final OfferedRate mOffered;
     private final Set<String> mServices = new HashSet<>();
     private long mLearnt;
+    private long mAnswered;
     private double mRateAtFeedback;
 
     ChainState(LevelTable table, long nowNanos) {
         mTable = table;
         mOffered = new OfferedRate(nowNanos);
         mLearnt = nowNanos;
+        mAnswered = nowNanos;
     }
 
-    synchronized void reaches(String service) {
+    /** Notes that an answer of this chain came from a service. */
+    synchronized void reaches(String service, long nowNanos) {
+        mAnswered = nowNanos;
         if (mServices.size() < MAX_SERVICES) {
             mServices.add(service);
         }
@@ -75,7 +79,12 @@
         return fractions(nowNanos).isEmpty();
     }
 
-    synchronized long learntNanos() {
+    /** When the last answer of this chain came, for forgetting the oldest chains. */
+    synchronized long answeredNanos() {
+        return mAnswered;
+    }
+
+    private long learntNanos() {
         long latest = mLearnt;
         for (String service : mServices) {
             long learnt = mTable.learntNanos(service, latest);
