--- a/core/src/test/java/io/azurestage/core/admission/PiecesTest.java
+++ b/core/src/test/java/io/azurestage/core/admission/PiecesTest.java
@@ -20,15 +20,6 @@
 import net.jqwik.api.constraints.Size;
 
 class PiecesTest {
-    private static final WorkListener SILENT =
-            new WorkListener() {
-                @Override
-                public void run() {}
-
-                @Override
-                public void refuse(RefusalReason reason, Duration retryAfter) {}
-            };
-
     @Group
     class Division {
         // Guards against idle capacity, and against a claimant that gains at a poorer one's cost.
@@ -87,6 +78,14 @@
                     .isBetween(0.0, 500.0);
         }
 
+        // Guards against a limit that ignores a server whose requests slow each other down.
+        @Property(seed = "20", tries = 5)
+        void keepsTheLatencyOfACongestedServerLow(@ForAll long seed) {
+            double fixed = ServerModel.CONGESTED.run(130, false, seed).meanMillis();
+            double adaptive = ServerModel.CONGESTED.run(130, true, seed).meanMillis();
+            assertThat(adaptive).isLessThan(fixed / 2);
+        }
+
         // Guards against a limit that keeps on sending what the server refuses.
         @Property(seed = "25", tries = 5)
         void findsTheCapacityOfARefusingServer(@ForAll long seed) {
@@ -156,7 +155,7 @@
 
         private static Waiting waiting(PartnerState p, Random random, int sequence) {
             WorkClass c = WorkClass.values()[random.nextInt(3)];
-            Work w = new Work(p.name(), c, random.nextDouble(), 1, 1, false, SILENT);
+            Work w = new Work(p.name(), c, random.nextDouble(), 1, 1, false, null);
             return new Waiting(w, p, 0, sequence);
         }
     }
--- a/core/src/test/java/io/azurestage/core/admission/Simulation.java
+++ b/core/src/test/java/io/azurestage/core/admission/Simulation.java
@@ -25,25 +25,16 @@
         final long mArrived;
         long mStarted;
         long mEnded;
-        RefusalReason mRefusal;
-        Duration mRetryAfter;
         ChainLevels mEntry;
-        boolean mEntryRefused;
 
         Request(Simulation sim, Stream stream, double rank, double entryFraction) {
             mSim = sim;
             mStream = stream;
             mArrived = sim.now();
             long deadline = mArrived + sim.mDeadline;
-            mWork =
-                    new Work(
-                            stream.partner(),
-                            stream.workClass(),
-                            rank,
-                            deadline,
-                            entryFraction,
-                            false,
-                            this);
+            String partner = stream.partner();
+            WorkClass c = stream.workClass();
+            mWork = new Work(partner, c, rank, deadline, entryFraction, false, this);
         }
 
         boolean inTime() {
@@ -58,8 +49,6 @@
 
         @Override
         public void refuse(RefusalReason reason, Duration retryAfter) {
-            mRefusal = reason;
-            mRetryAfter = retryAfter;
             mSim.answer(this);
         }
     }
@@ -92,12 +81,8 @@
 
     Simulation(int slots, MeshConfig config, Tuning tuning, long seed) {
         mRandom = new Random(seed);
-        mController =
-                new AdmissionController(
-                        slots,
-                        mTime,
-                        (l, b, c, n) -> mLoanChanges.add(l + ">" + b + " " + c + " " + n),
-                        tuning);
+        LoanListener loans = (l, b, c, n) -> mLoanChanges.add(l + ">" + b + " " + c + " " + n);
+        mController = new AdmissionController(slots, mTime, loans, tuning);
         mController.configure(config);
     }
 
@@ -164,7 +149,6 @@
         r.mEntry = levels;
         mRequests.add(r);
         if (entry.isEmpty()) {
-            r.mEntryRefused = true;
             return;
         }
         mController.offer(r.mWork);
