--- a/bench/src/main/java/io/azurestage/bench/BenchMain.java
+++ b/bench/src/main/java/io/azurestage/bench/BenchMain.java
@@ -21,6 +21,8 @@
  *         [--hop-timeout-ms N] [--policy P,...] [--json]
  * bench shares|rolling [--seconds N] [--seed N] [--depth N] [--policy P,...] [--json]
  * bench overhead [--seconds N] [--seed N] [--policy P,...] [--json]
+ * bench spread [--nodes N,...] [--json]
+ * bench outage [--seed N] [--json]
  * </pre>
  *
  * <p>The last line of the output is one JSON object with the figures by policy. With {@code --json}
@@ -72,6 +74,7 @@
                                 "hop-timeout-ms",
                                 "timeout of each hop in the baselines, default "
                                         + DEFAULT_HOP_TIMEOUT_MS))
+                .addOption(option("nodes", "sizes of the mesh, default " + Spread.DEFAULT_SIZES))
                 .addOption(option("policy", "comma-separated policies, default all"))
                 .addOption(Option.builder().longOpt("json").desc("print only JSON").get());
     }
@@ -85,7 +88,8 @@
             CommandLine line = new DefaultParser().parse(options(), args);
             if (line.getArgList().size() != 1) {
                 throw new ParseException(
-                        "name one experiment: overload, shares, rolling or overhead");
+                        "name one experiment: overload, shares, rolling, overhead, spread or"
+                                + " outage");
             }
             run(line.getArgList().get(0), line);
             return 0;
@@ -125,6 +129,9 @@
                 Overhead overhead = new Overhead(seconds, hopTimeout, seed);
                 report(policies, json, overhead::run);
             }
+            case "spread" ->
+                    print(new Spread(line.getOptionValue("nodes", Spread.DEFAULT_SIZES)).run());
+            case "outage" -> print(new Outage(seed).run());
             default -> throw new ParseException("unknown experiment: " + experiment);
         }
     }
@@ -144,6 +151,10 @@
                 figures.forEach((name, value) -> mOut.printf("  %-26s %s%n", name, value));
             }
         }
+        print(results);
+    }
+
+    private void print(Map<String, Object> results) {
         try {
             mOut.println(new ObjectMapper().writeValueAsString(results));
         } catch (JsonProcessingException e) {
--- /dev/null
+++ b/bench/src/main/java/io/azurestage/bench/PushTrial.java
@@ -0,0 +1,144 @@
+package io.azurestage.bench;
+
+import io.azurestage.bench.standin.StandInStore;
+import io.azurestage.bench.standin.StandInStoreFault;
+import io.azurestage.config.AcceptedConfig;
+import io.azurestage.config.MeshConfig;
+import io.azurestage.store.ConfigPublisher;
+import io.azurestage.store.ConfigVersions;
+import io.azurestage.store.EtcdStore;
+import io.azurestage.store.LeaseResult;
+import io.azurestage.store.PlatformStore;
+import io.azurestage.store.Push;
+import io.azurestage.store.PushResult;
+import io.azurestage.store.ReadResult;
+import io.azurestage.store.WatchEvent;
+import io.azurestage.store.WriteResult;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/** Pushes a configuration as the command-line tool does, and measures its spread. */
+final class PushTrial {
+    /** The command-line tool hands a record to as many nodes of each data centre. */
+    private static final int NODES_OF_EACH_DATA_CENTRE = 3;
+
+    private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration LIMIT = Duration.ofSeconds(10);
+    private static final long POLL_MILLIS = 25;
+
+    private final StandInStore mStore;
+    private final AdminClient mAdmin;
+    private final ConfigWatch mWatch;
+
+    PushTrial(StandInStore store, AdminClient admin, ConfigWatch watch) {
+        mStore = store;
+        mAdmin = admin;
+        mWatch = watch;
+    }
+
+    /** Publishes a configuration; empty-handed results tell why. */
+    PushResult publish(MeshConfig config) {
+        try (PlatformStore client = EtcdStore.connect(List.of(mStore.uri()), STORE_TIMEOUT)) {
+            return new ConfigPublisher(client).push(Push.of(config, "bench")).join();
+        }
+    }
+
+    /** Publishes while the store fails right after it has accepted the version. */
+    PushResult publishAndFail(MeshConfig config) {
+        // Watchers must not learn of the version in the moment between the two.
+        mStore.on(StandInStoreFault.WATCH_REFUSED);
+        mStore.breakWatches();
+        try (PlatformStore client =
+                new FailsAfterSwap(
+                        EtcdStore.connect(List.of(mStore.uri()), STORE_TIMEOUT), mStore)) {
+            return new ConfigPublisher(client).push(Push.of(config, "bench")).join();
+        }
+    }
+
+    /** Switches the faults of {@link #publishAndFail} off. */
+    void heal() {
+        mStore.off(StandInStoreFault.WATCH_REFUSED);
+        mStore.off(StandInStoreFault.REFUSED);
+    }
+
+    /**
+     * Hands a record to a few nodes of each data centre and waits until all nodes report it.
+     *
+     * @return milliseconds since the acceptance, or -1 if some node does not report it in 10 s
+     */
+    long spread(AcceptedConfig record, Map<OutsideNode, String> dataCentres) {
+        Collection<OutsideNode> nodes = dataCentres.keySet();
+        long accepted = record.acceptedAt().toEpochMilli();
+        try (StatusPoller poller = new StatusPoller(mAdmin, () -> nodes, mWatch, POLL_MILLIS)) {
+            someOfEach(dataCentres).forEach(node -> mAdmin.handOver(node, record.toJson()));
+            long end = System.nanoTime() + LIMIT.toNanos();
+            long spread = mWatch.spreadMs(record.number(), accepted, nodes);
+            while (spread < 0 && System.nanoTime() < end) {
+                Sleep.millis(POLL_MILLIS);
+                spread = mWatch.spreadMs(record.number(), accepted, nodes);
+            }
+            return spread;
+        }
+    }
+
+    static List<OutsideNode> someOfEach(Map<OutsideNode, String> dataCentres) {
+        Map<String, Integer> taken = new HashMap<>();
+        List<OutsideNode> some = new ArrayList<>();
+        dataCentres.forEach(
+                (node, dataCentre) -> {
+                    if (taken.merge(dataCentre, 1, Integer::sum) <= NODES_OF_EACH_DATA_CENTRE) {
+                        some.add(node);
+                    }
+                });
+        return some;
+    }
+
+    /** Closes the port of the stand-in store as soon as it has accepted a version. */
+    private record FailsAfterSwap(PlatformStore store, StandInStore standIn)
+            implements PlatformStore {
+        @Override
+        public CompletableFuture<ReadResult> get(String key, boolean prefix) {
+            return store.get(key, prefix);
+        }
+
+        @Override
+        public CompletableFuture<WriteResult> compareAndSwap(
+                String key, long expected, byte[] value, long lease) {
+            return store.compareAndSwap(key, expected, value, lease)
+                    .thenApplyAsync(
+                            result -> {
+                                if (key.equals(ConfigVersions.CURRENT_KEY)) {
+                                    standIn.on(StandInStoreFault.REFUSED);
+                                }
+                                return result;
+                            });
+        }
+
+        @Override
+        public CompletableFuture<LeaseResult> grantLease(Duration timeToLive) {
+            return store.grantLease(timeToLive);
+        }
+
+        @Override
+        public CompletableFuture<LeaseResult> keepAlive(long lease) {
+            return store.keepAlive(lease);
+        }
+
+        @Override
+        public AutoCloseable watch(
+                String key, boolean prefix, long fromRevision, Consumer<WatchEvent> consumer) {
+            return store.watch(key, prefix, fromRevision, consumer);
+        }
+
+        @Override
+        public void close() {
+            store.close();
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/azurestage/bench/Slope.java
@@ -0,0 +1,24 @@
+package io.azurestage.bench;
+
+import java.util.List;
+
+/** Least squares through measured points. */
+final class Slope {
+    private Slope() {}
+
+    /** A figure at a size. */
+    record Point(double size, double value) {}
+
+    /** Returns the change of the value for one more unit of size; 0 for fewer than two sizes. */
+    static double of(List<Point> points) {
+        double meanSize = points.stream().mapToDouble(Point::size).average().orElse(0);
+        double meanValue = points.stream().mapToDouble(Point::value).average().orElse(0);
+        double covariance = 0;
+        double variance = 0;
+        for (Point p : points) {
+            covariance += (p.size() - meanSize) * (p.value() - meanValue);
+            variance += (p.size() - meanSize) * (p.size() - meanSize);
+        }
+        return variance == 0 ? 0 : covariance / variance;
+    }
+}
