Show in the demo when critical requests were refused

Cause: the number of refused critical requests does not tell whether they belong to the start of the surge or to all of it.

--- a/bench/src/main/java/io/azurestage/bench/DemoCheck.java
+++ b/bench/src/main/java/io/azurestage/bench/DemoCheck.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** Counts what callers and backend servers saw in the demo and checks the properties. */
 final class DemoCheck {
@@ -148,11 +149,22 @@
      * served.
      */
     long criticalShedEarly(CallClass served) {
-        List<CallLog.Attempt> shed =
-                mAttempts.stream()
-                        .filter(a -> a.workClass() == CallClass.CRITICAL && a.isShed())
-                        .toList();
-        return shed.stream().filter(a -> criticalFitted(a) && isServed(served, a)).count();
+        return shedCritical().filter(a -> criticalFitted(a) && isServed(served, a)).count();
+    }
+
+    private Stream<CallLog.Attempt> shedCritical() {
+        return mAttempts.stream().filter(a -> a.workClass() == CallClass.CRITICAL && a.isShed());
+    }
+
+    /** Returns the critical attempts that were refused, by second of the load. */
+    Map<Long, Long> shedCriticalBySecond() {
+        long start = mAttempts.stream().mapToLong(CallLog.Attempt::sentNanos).min().orElse(0);
+        return shedCritical()
+                .collect(
+                        Collectors.groupingBy(
+                                a -> (a.sentNanos() - start) / SECOND,
+                                TreeMap::new,
+                                Collectors.counting()));
     }
 
     private boolean criticalFitted(CallLog.Attempt shed) {
--- a/bench/src/main/java/io/azurestage/bench/DemoMain.java
+++ b/bench/src/main/java/io/azurestage/bench/DemoMain.java
@@ -89,6 +89,7 @@
         }
         if (!json) {
             check.reasons().forEach((reason, n) -> say("not whole: " + n + " " + reason));
+            say("critical refused by second of the load: " + check.shedCriticalBySecond());
         }
         List<String> broken = check.broken();
         broken.forEach(message -> System.err.println("demo: broken property " + message));
