End sub-calls with their request and tell waiting repeats of a seal

Cause: three faults, found by CancellationTest. 1. The sub-calls of a ticketed request ended when the caller went away, although the request itself goes on so that a repeat gets the answer. The advance was half done and its ticket used up. 2. When a backend server broke off, the calls that it had made went on to their deadline and kept their slots. 3. A repeat that waited for a ticketed request heard `unknown` when the request was cancelled in the queue, although it was sealed as not run.

Change: Progress has a cancellation of its own for sub-calls. It is the caller's for repeatable work, separate for ticketed work, and used when the backend server fails. A waiting repeat that gets no answer claims the ticket again to tell a seal from a lost answer.

Conclusion: cancellation over HTTP/2 reaches the whole chain and leaves ticketed work whole.

--- a/node/src/main/java/io/azurestage/node/EgressHandler.java
+++ b/node/src/main/java/io/azurestage/node/EgressHandler.java
@@ -145,8 +145,7 @@
         }
         Progress p = parent.get();
         p.subCallStarted(call.chainKey());
-        mForwarder.forward(
-                call, p.allowance(), p.cancellation(), new SubCallSink(sink, p::subCallEnded));
+        mForwarder.forward(call, p.allowance(), p.below(), new SubCallSink(sink, p::subCallEnded));
     }
 
     private Optional<Refusal> refusal(Optional<Progress> parent, Call call) {
--- a/node/src/main/java/io/azurestage/node/Hop.java
+++ b/node/src/main/java/io/azurestage/node/Hop.java
@@ -106,7 +106,11 @@
         Cancellation cancellation = new Cancellation();
         Progress progress =
                 new Progress(
-                        ctx, ctx.repeatable() || call.mayRunAgain(), cancellation, mShared.time());
+                        ctx,
+                        ctx.repeatable() || call.mayRunAgain(),
+                        cancellation,
+                        call.ticket().isPresent(),
+                        mShared.time());
         ResponseSink sink =
                 new ResponseSink(
                         response,
--- a/node/src/main/java/io/azurestage/node/Owner.java
+++ b/node/src/main/java/io/azurestage/node/Owner.java
@@ -48,11 +48,12 @@
 
     private void claim(
             Call call, RequestContext ctx, Progress progress, Ticket ticket, AnswerSink sink) {
+        long fingerprint = Fingerprint.of(call.method(), call.target(), call.body());
         Claim claim =
                 mOnce.claim(
                         ticket,
-                        Fingerprint.of(call.method(), call.target(), call.body()),
-                        answer -> replay(call, answer, sink));
+                        fingerprint,
+                        answer -> ended(call, ticket, fingerprint, answer, sink));
         String outcome = claim.getClass().getSimpleName();
         mShared.metrics().ticketClaims().labelValues(outcome).inc();
         if (claim instanceof Claim.First) {
@@ -60,10 +61,7 @@
         } else if (claim instanceof Claim.Done done) {
             replay(call, Optional.of(done.answer()), sink);
         } else if (claim instanceof Claim.Sealed) {
-            sink.refuse(
-                    Refusal.notRun(
-                            RefusalKind.TICKET_MISMATCH,
-                            "the ticket was refused as not run before and is void"));
+            refuseSealed(sink);
         } else if (claim instanceof Claim.Mismatch) {
             sink.refuse(
                     Refusal.notRun(
@@ -87,6 +85,30 @@
         sink.refuse(Refusal.unknown(RefusalKind.TICKET_UNKNOWN, reason));
     }
 
+    /** Answers a repeat that waited; without an answer, a second claim tells if it was sealed. */
+    private void ended(
+            Call call,
+            Ticket ticket,
+            long fingerprint,
+            Optional<StoredAnswer> answer,
+            AnswerSink sink) {
+        boolean sealed =
+                answer.isEmpty()
+                        && mOnce.claim(ticket, fingerprint, a -> {}) instanceof Claim.Sealed;
+        if (sealed) {
+            refuseSealed(sink);
+        } else {
+            replay(call, answer, sink);
+        }
+    }
+
+    private static void refuseSealed(AnswerSink sink) {
+        sink.refuse(
+                Refusal.notRun(
+                        RefusalKind.TICKET_MISMATCH,
+                        "the ticket was refused as not run before and is void"));
+    }
+
     private void replay(Call call, Optional<StoredAnswer> answer, AnswerSink sink) {
         if (answer.isEmpty()) {
             refuseUnknown(call, "the request ran and its answer was not kept", sink);
--- a/node/src/main/java/io/azurestage/node/OwnerRun.java
+++ b/node/src/main/java/io/azurestage/node/OwnerRun.java
@@ -228,6 +228,10 @@
             return;
         }
         mShared.progress().remove(mProgress);
+        if (outcome == Completion.Outcome.FAILED || outcome == Completion.Outcome.CANCELLED) {
+            // Nobody waits for the answers of these calls any more.
+            mProgress.below().cancel();
+        }
         long total = mShared.time().nanos() - mStarted;
         long own = Math.max(0, total - mProgress.waitedNanos());
         mAdmission.complete(mWork, new Completion(total, own, outcome));
--- a/node/src/main/java/io/azurestage/node/Progress.java
+++ b/node/src/main/java/io/azurestage/node/Progress.java
@@ -16,6 +16,7 @@
     private final boolean mRepeatable;
     private final Allowance mAllowance;
     private final Cancellation mCancellation;
+    private final Cancellation mBelow;
     private final TimeSource mTime;
     private final Set<ChainKey> mSubCalls = new HashSet<>();
     private int mOpenSubCalls;
@@ -26,11 +27,13 @@
             RequestContext context,
             boolean repeatable,
             Cancellation cancellation,
+            boolean outlivesCaller,
             TimeSource time) {
         mContext = context;
         mRepeatable = repeatable;
         mAllowance = new Allowance(context.allowance());
         mCancellation = cancellation;
+        mBelow = outlivesCaller ? new Cancellation() : cancellation;
         mTime = time;
     }
 
@@ -51,6 +54,11 @@
         return mCancellation;
     }
 
+    /** Ends the calls that the backend server has made for this request. */
+    Cancellation below() {
+        return mBelow;
+    }
+
     synchronized void subCallStarted(ChainKey key) {
         mSubCalls.add(key);
         if (mOpenSubCalls++ == 0) {
--- /dev/null
+++ b/node/src/test/java/io/azurestage/node/CancellationTest.java
@@ -0,0 +1,176 @@
+package io.azurestage.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.core.time.ManualTimeSource;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.Request;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
+
+/** Requests that nobody waits for any more, and what happens below them. */
+class CancellationTest {
+    private static final int SLOTS = 8;
+
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final Gate mGate = new Gate((q, s, c) -> FakeBackend.reply(s, c, 200, "late"));
+    private TestMesh mMesh;
+
+    @BeforeEach
+    void start() throws Exception {
+        mMesh = new TestMesh(mTime, 3);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mGate.open();
+        mMesh.close();
+    }
+
+    /** A deadline beyond the end of the test, so that only cancellation can end the request. */
+    private static Request patient(Request r) {
+        return r.headers(h -> h.put(Headers.DEADLINE_MS, 60_000));
+    }
+
+    private int runs(int backend) {
+        return mMesh.backend(backend).runs();
+    }
+
+    // Guards against slots in deep services that stay taken by work that nobody waits for.
+    @Test
+    void aCallerThatGoesAwayFreesTheWholeChain() throws Exception {
+        freesTheWholeChain(mMesh.http2(mMesh.node(0), "GET", "/bookings/1"));
+    }
+
+    @Test
+    @ExtendWith(KnownRed.class)
+    void anHttp1CallerThatGoesAwayFreesTheWholeChain() throws Exception {
+        freesTheWholeChain(mMesh.request(mMesh.node(0), "GET", "/bookings/1"));
+    }
+
+    private void freesTheWholeChain(Request request) throws Exception {
+        mMesh.backend(2).behaviour(mGate);
+        Request r = patient(request);
+        CompletableFuture<ContentResponse> answer = TestMesh.start(r);
+        mGate.awaitEntered(1);
+        r.abort(new IOException("the caller goes away"));
+        mMesh.awaitIdle();
+        assertThat(answer).isCompletedExceptionally();
+    }
+
+    // Guards against sub-calls that go on to their deadline after their backend server is gone.
+    @Test
+    void aBackendServerThatBreaksOffFreesWhatItCalled() throws Exception {
+        mMesh.backend(2).behaviour(mGate);
+        mMesh.backend(1)
+                .behaviour(
+                        (q, s, c) -> {
+                            mMesh.backend(1).callNextUnheard(q);
+                            mGate.awaitEntered(1);
+                            FakeBackend.breakOff(s, c);
+                        });
+        ContentResponse r =
+                TestMesh.get(
+                        TestMesh.start(
+                                patient(mMesh.request(mMesh.node(0), "GET", "/bookings/1"))));
+        assertThat(r.getContentAsString()).contains("dependency-failed", "\"ran\":\"unknown\"");
+        mMesh.awaitIdle();
+    }
+
+    // Guards against an advance that is half done: its sub-calls cut off, its ticket used up.
+    @Test
+    void aTicketedRequestOutlivesItsCaller() throws Exception {
+        String ticket = mMesh.ticket(mMesh.node(1), "a");
+        Gate held = new Gate(mMesh.backend(2)::callNext);
+        mMesh.backend(2).behaviour(held);
+        Request r = mMesh.advance(patient(mMesh.http2(mMesh.node(1), "POST", "/advances")), ticket);
+        TestMesh.start(r);
+        held.awaitEntered(1);
+        r.abort(new IOException("the caller goes away"));
+        Await.until("the entry node has ended", () -> mMesh.node(1).inProgress() <= 2);
+        CompletableFuture<ContentResponse> repeat =
+                TestMesh.start(
+                        mMesh.advance(mMesh.request(mMesh.node(2), "POST", "/advances"), ticket));
+        held.open();
+        assertThat(TestMesh.get(repeat).getContentAsString()).isEqualTo("a>b>c");
+        for (int i = 0; i < 3; i++) {
+            assertThat(runs(i)).isEqualTo(1);
+        }
+    }
+
+    private void fillSlots() {
+        mMesh.backend(0).behaviour(mGate);
+        for (int i = 0; i < SLOTS; i++) {
+            TestMesh.start(mMesh.request(mMesh.node(0), "GET", "/bookings/" + i));
+        }
+        mGate.awaitEntered(SLOTS);
+    }
+
+    private void awaitQueued(int count) {
+        Await.until(count + " queued", () -> mMesh.node(0).admission().status().queued() == count);
+    }
+
+    private void awaitClaims(String outcome) {
+        Await.until(
+                "a claim ends as " + outcome,
+                () ->
+                        mMesh.node(0).shared().metrics().ticketClaims().labelValues(outcome).get()
+                                > 0);
+    }
+
+    // Guards against a repeat that is told `unknown` although its request was sealed in the queue.
+    @Test
+    void aQueuedTicketIsSealedForThoseWhoWaitForIt() throws Exception {
+        fillSlots();
+        String ticket = mMesh.ticket(mMesh.node(1), "a");
+        Request first = mMesh.advance(mMesh.http2(mMesh.node(1), "POST", "/advances"), ticket);
+        TestMesh.start(first);
+        awaitQueued(1);
+        CompletableFuture<ContentResponse> repeat =
+                TestMesh.start(
+                        mMesh.advance(mMesh.request(mMesh.node(2), "POST", "/advances"), ticket));
+        awaitClaims("InProgress");
+        first.abort(new IOException("the caller goes away"));
+        assertThat(TestMesh.get(repeat).getContentAsString()).contains("\"ran\":\"not-run\"");
+        mGate.open();
+        ContentResponse late =
+                TestMesh.get(
+                        TestMesh.start(
+                                mMesh.advance(
+                                        mMesh.request(mMesh.node(2), "POST", "/advances"),
+                                        ticket)));
+        assertThat(late.getContentAsString()).contains("\"ran\":\"not-run\"");
+        assertThat(runs(0)).isEqualTo(SLOTS);
+    }
+
+    // Guards against an advance that runs after its caller was told that it did not.
+    @Test
+    void aQueuedTicketPastItsDeadlineNeverRuns() throws Exception {
+        fillSlots();
+        String ticket = mMesh.ticket(mMesh.node(1), "a");
+        List<ContentResponse> answers = new ArrayList<>();
+        CompletableFuture<ContentResponse> first =
+                TestMesh.start(
+                        mMesh.advance(mMesh.request(mMesh.node(1), "POST", "/advances"), ticket)
+                                .headers(h -> h.put(Headers.DEADLINE_MS, 60_000)));
+        awaitQueued(1);
+        mTime.advance(Duration.ofSeconds(61));
+        answers.add(TestMesh.get(first));
+        mGate.open();
+        answers.add(
+                TestMesh.get(
+                        TestMesh.start(
+                                mMesh.advance(
+                                        mMesh.request(mMesh.node(2), "POST", "/advances"),
+                                        ticket))));
+        assertThat(answers).allSatisfy(r -> assertThat(r.getContentAsString()).contains("not-run"));
+        assertThat(runs(0)).isEqualTo(SLOTS);
+    }
+}
--- a/node/src/test/java/io/azurestage/node/FakeBackend.java
+++ b/node/src/test/java/io/azurestage/node/FakeBackend.java
@@ -1,5 +1,6 @@
 package io.azurestage.node;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -69,17 +70,7 @@
             reply(response, callback, 200, mName);
             return;
         }
-        ContentResponse r =
-                mClient.newRequest("http://" + mEgress + request.getHttpURI().getPathQuery())
-                        .method(request.getMethod())
-                        .headers(
-                                h -> {
-                                    h.put(
-                                            Headers.CONTEXT,
-                                            request.getHeaders().get(Headers.CONTEXT));
-                                    h.put(Headers.SERVICE, mNext);
-                                })
-                        .send();
+        ContentResponse r = next(request).send();
         if (r.getStatus() == 200) {
             reply(response, callback, 200, mName + ">" + r.getContentAsString());
         } else {
@@ -88,11 +79,36 @@
         }
     }
 
+    /** Calls the next service and does not wait for its answer. */
+    void callNextUnheard(Request request) {
+        next(request).send(result -> {});
+    }
+
+    private org.eclipse.jetty.client.Request next(Request request) {
+        return mClient.newRequest("http://" + mEgress + request.getHttpURI().getPathQuery())
+                .method(request.getMethod())
+                .headers(
+                        h -> {
+                            h.put(Headers.CONTEXT, request.getHeaders().get(Headers.CONTEXT));
+                            h.put(Headers.SERVICE, mNext);
+                        });
+    }
+
     static void reply(Response response, Callback callback, int status, String text) {
         response.setStatus(status);
         response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
     }
 
+    /** Breaks off an answer after its first bytes. */
+    static void breakOff(Response response, Callback callback) {
+        IOException cause = new IOException("the server breaks off");
+        response.getHeaders().put("Content-Length", 100);
+        response.write(
+                false,
+                ByteBuffer.wrap("half".getBytes(StandardCharsets.UTF_8)),
+                Callback.from(() -> callback.failed(cause), callback::failed));
+    }
+
     @Override
     public void close() throws Exception {
         mClient.stop();
--- a/node/src/test/java/io/azurestage/node/TestMesh.java
+++ b/node/src/test/java/io/azurestage/node/TestMesh.java
@@ -7,10 +7,16 @@
 import io.azurestage.core.time.TimeSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.http2.client.HTTP2Client;
+import org.eclipse.jetty.http2.client.transport.HttpClientTransportOverHTTP2;
 
 /** Nodes with fake backend servers in a chain a, b, c over loopback. */
 final class TestMesh implements AutoCloseable {
@@ -20,6 +26,8 @@
     private final List<FakeBackend> mBackends = new ArrayList<>();
     private final List<DataPlane> mNodes = new ArrayList<>();
     private final HttpClient mClient = new HttpClient();
+    private final HttpClient mHttp2 =
+            new HttpClient(new HttpClientTransportOverHTTP2(new HTTP2Client()));
     private final List<Endpoint> mEndpoints = new ArrayList<>();
     private final MeshConfig mConfig;
     private final TimeSource mTime;
@@ -32,6 +40,7 @@
         mTime = time;
         mConfig = config(retryAllowance);
         mClient.start();
+        mHttp2.start();
         for (int i = 0; i < CHAIN.size(); i++) {
             add(CHAIN.get(i), i + 1 < CHAIN.size() ? CHAIN.get(i + 1) : "");
         }
@@ -119,7 +128,43 @@
     }
 
     Request request(DataPlane entry, String method, String path) {
-        return mClient.newRequest("http://" + entry.ingress() + path)
+        return request(mClient, entry, method, path);
+    }
+
+    /** A request whose caller tells the node at once when it goes away. */
+    Request http2(DataPlane entry, String method, String path) {
+        return request(mHttp2, entry, method, path);
+    }
+
+    /** An advance with a ticket for service a. */
+    Request advance(Request r, String ticket) {
+        return r.headers(h -> h.put(Headers.IDEMPOTENCY_KEY, ticket))
+                .body(new StringRequestContent("10 rupees"));
+    }
+
+    static CompletableFuture<ContentResponse> start(Request r) {
+        return new CompletableResponseListener(r, 16 << 20).send();
+    }
+
+    static ContentResponse get(CompletableFuture<ContentResponse> f) throws Exception {
+        return f.get(20, TimeUnit.SECONDS);
+    }
+
+    /** Waits until no node works on anything. */
+    void awaitIdle() {
+        for (DataPlane n : mNodes) {
+            Await.until(
+                    n.identity().nodeId() + " is idle",
+                    () ->
+                            n.inProgress() == 0
+                                    && n.shared().progress().size() == 0
+                                    && n.admission().status().inFlight() == 0
+                                    && n.admission().status().queued() == 0);
+        }
+    }
+
+    private Request request(HttpClient client, DataPlane entry, String method, String path) {
+        return client.newRequest("http://" + entry.ingress() + path)
                 .method(method)
                 .headers(
                         h -> {
@@ -147,6 +192,7 @@
     @Override
     public void close() throws Exception {
         mClient.stop();
+        mHttp2.stop();
         for (DataPlane n : mNodes) {
             n.close();
         }
