Test faults in the middle of a chain at each step of a request

Change: PathFaultsTest holds a GET and an advance at one step at the middle service of a chain and then slows down, floods, repeats, kills, pauses (HeldTime stops every thread that asks for the time) or cuts off (Relay) its node. Scene checks whole answers, true not-run by the run counters of the backend servers, at most one run of an advance, bounded retries, and that a repeat of the advance hears the same answer.

--- a/node/src/test/java/io/azurestage/node/FakeBackend.java
+++ b/node/src/test/java/io/azurestage/node/FakeBackend.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
@@ -16,6 +18,8 @@
 /** A backend server that calls the next service and answers with both names. */
 final class FakeBackend implements AutoCloseable {
     private final AtomicInteger mRuns = new AtomicInteger();
+    private final ConcurrentMap<String, AtomicInteger> mByPath = new ConcurrentHashMap<>();
+    private volatile Runnable mBeforeRun = () -> {};
     private volatile Behaviour mBehaviour = this::callNext;
     private volatile HostPort mEgress;
 
@@ -40,7 +44,10 @@
                     @Override
                     public boolean handle(Request request, Response response, Callback callback)
                             throws Exception {
+                        mBeforeRun.run();
                         mRuns.incrementAndGet();
+                        String path = request.getHttpURI().getPath();
+                        mByPath.computeIfAbsent(path, k -> new AtomicInteger()).incrementAndGet();
                         mBehaviour.handle(request, response, callback);
                         return true;
                     }
@@ -53,6 +60,16 @@
         return mRuns.get();
     }
 
+    int runs(String path) {
+        AtomicInteger n = mByPath.get(path);
+        return n == null ? 0 : n.get();
+    }
+
+    /** Does something between the arrival of a request and its run. */
+    void beforeRun(Runnable action) {
+        mBeforeRun = action;
+    }
+
     void behaviour(Behaviour behaviour) {
         mBehaviour = behaviour;
     }
@@ -79,6 +96,27 @@
         }
     }
 
+    /** What a backend server answers. */
+    record Answer(int status, String type, String text) {}
+
+    /** The names and paths of all services of the chain from here, or a refusal passed on. */
+    Answer answerOfChain(Request request) throws Exception {
+        String own = mName + request.getHttpURI().getPath();
+        if (mNext.isEmpty()) {
+            return new Answer(200, "text/plain", own);
+        }
+        ContentResponse r = next(request).send();
+        String text = r.getContentAsString();
+        return r.getStatus() == 200
+                ? new Answer(200, "text/plain", own + ">" + text)
+                : new Answer(r.getStatus(), r.getHeaders().get("Content-Type"), text);
+    }
+
+    static void reply(Response response, Callback callback, Answer a) {
+        response.getHeaders().put("Content-Type", a.type());
+        reply(response, callback, a.status(), a.text());
+    }
+
     /** Calls the next service and does not wait for its answer. */
     void callNextUnheard(Request request) {
         next(request).send(result -> {});
--- /dev/null
+++ b/node/src/test/java/io/azurestage/node/Fault.java
@@ -0,0 +1,17 @@
+package io.azurestage.node;
+
+/** What goes wrong; the rows of docs/fault-matrix.md. */
+enum Fault {
+    DEEP_SLOWDOWN,
+    SURGE,
+    RETRY_STORM,
+    NODE_KILLED,
+    NODE_PAUSED,
+    STORE_DOWN,
+    STORE_SLOW,
+    WRITE_ANSWER_LOST,
+    LINK_LOST,
+    LATE_OR_DUPLICATED,
+    TRUNCATED_ANSWER,
+    LYING_HEALTH
+}
--- /dev/null
+++ b/node/src/test/java/io/azurestage/node/PathFaultsTest.java
@@ -0,0 +1,196 @@
+package io.azurestage.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Faults at the service b in the middle of a chain, at each step of a request. Scene checks that
+ * every caller gets its own whole answer or a refusal, that not-run is true, that an advance runs
+ * at most once, and that retries stay within the allowance.
+ */
+class PathFaultsTest {
+    private Scene mScene;
+
+    private void bring(Step step) throws Exception {
+        mScene = new Scene(step);
+        mScene.bring();
+        if (step == Step.DRAINING) {
+            mScene.mMesh.drain(1);
+        }
+    }
+
+    private void sendIfArrival(Step step) {
+        if (step == Step.ARRIVAL) {
+            mScene.sendBoth();
+        }
+    }
+
+    private void finish(Step step) throws Exception {
+        mScene.open();
+        mScene.check();
+        mScene.checkRepeat();
+        if (step == Step.DRAINING) {
+            // P6: a draining server takes no new work.
+            assertThat(TestMesh.get(mScene.probe("b", "/bookings/new").answer()).getStatus())
+                    .isNotEqualTo(200);
+            assertThat(mScene.mMesh.backend(1).runs("/bookings/new")).isEqualTo(0);
+        }
+    }
+
+    private void bothWhole() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            assertThat(mScene.mMesh.backend(i).runs(Scene.ADVANCE_PATH)).isEqualTo(1);
+        }
+        assertThat(TestMesh.get(mScene.advance(0).answer()).getStatus()).isEqualTo(200);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mScene.close();
+    }
+
+    // Guards against slots that stay taken, and against answers after the deadline.
+    @ParameterizedTest
+    @EnumSource(
+            value = Step.class,
+            names = {"ARRIVAL", "QUEUED", "DISPATCHED", "RUNNING", "ANSWER_UNDER_WAY", "DRAINING"})
+    void slowdown(Step step) throws Exception {
+        mScene = new Scene(step == Step.ARRIVAL ? Step.DISPATCHED : step).deadline(500);
+        mScene.bring();
+        if (step == Step.DRAINING) {
+            mScene.mMesh.drain(1);
+        }
+        mScene.check();
+        finish(step);
+        mScene.mMesh.awaitIdle();
+    }
+
+    // Guards against a partner's surge that takes an advance with it.
+    @ParameterizedTest
+    @EnumSource(
+            value = Step.class,
+            names = {
+                "ARRIVAL",
+                "QUEUED",
+                "DISPATCHED",
+                "RUNNING",
+                "ANSWER_UNDER_WAY",
+                "ANSWERED",
+                "DRAINING"
+            })
+    void surge(Step step) throws Exception {
+        bring(step);
+        IntStream.range(0, 60).forEach(i -> mScene.probe("b", "/bookings/surge" + i));
+        sendIfArrival(step);
+        finish(step);
+        bothWhole();
+        mScene.mMesh.awaitIdle();
+    }
+
+    // Guards against repeats that run again, and against repeats that hear another answer.
+    @ParameterizedTest
+    @EnumSource(
+            value = Step.class,
+            names = {
+                "ARRIVAL",
+                "QUEUED",
+                "DISPATCHED",
+                "RUNNING",
+                "ANSWER_UNDER_WAY",
+                "ANSWERED",
+                "DRAINING"
+            })
+    void retryStorm(Step step) throws Exception {
+        bring(step);
+        List<Scene.Probe> repeats = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            repeats.add(mScene.advance(i % 2 == 0 ? 0 : 2));
+        }
+        sendIfArrival(step);
+        finish(step);
+        for (Scene.Probe p : repeats) {
+            assertThat(TestMesh.get(p.answer()).getStatus()).isEqualTo(200);
+        }
+        bothWhole();
+        mScene.mMesh.awaitIdle();
+    }
+
+    // Guards against a second run of an advance whose owner is gone.
+    @ParameterizedTest
+    @EnumSource(
+            value = Step.class,
+            names = {
+                "ARRIVAL",
+                "QUEUED",
+                "DISPATCHED",
+                "RUNNING",
+                "ANSWER_UNDER_WAY",
+                "ANSWERED",
+                "DRAINING"
+            })
+    void nodeKilled(Step step) throws Exception {
+        bring(step);
+        mScene.mMesh.node(1).close();
+        sendIfArrival(step);
+        finish(step);
+    }
+
+    // Guards against an owner that forgets its tickets, or runs overdue work, after a pause.
+    @ParameterizedTest
+    @EnumSource(
+            value = Step.class,
+            names = {
+                "ARRIVAL",
+                "QUEUED",
+                "DISPATCHED",
+                "RUNNING",
+                "ANSWER_UNDER_WAY",
+                "ANSWERED",
+                "DRAINING"
+            })
+    void nodePaused(Step step) throws Exception {
+        bring(step);
+        mScene.mTimeOfB.hold();
+        sendIfArrival(step);
+        if (step == Step.ARRIVAL) {
+            Await.until("a works", () -> mScene.mMesh.backend(0).runs() >= 2);
+        }
+        mScene.open();
+        mScene.mTime.advance(Duration.ofMinutes(5));
+        mScene.mTimeOfB.resume();
+        finish(step);
+        mScene.mMesh.awaitIdle();
+    }
+
+    // Guards against answers that are cut short, and advances sent twice, over a lost link.
+    @ParameterizedTest
+    @EnumSource(
+            value = Step.class,
+            names = {
+                "ARRIVAL",
+                "QUEUED",
+                "DISPATCHED",
+                "RUNNING",
+                "ANSWER_UNDER_WAY",
+                "ANSWERED",
+                "DRAINING"
+            })
+    void linkLost(Step step) throws Exception {
+        bring(step);
+        mScene.linkToB().cut();
+        sendIfArrival(step);
+        if (step == Step.ARRIVAL) {
+            mScene.check();
+        }
+        mScene.linkToB().restore();
+        finish(step);
+        mScene.mMesh.awaitIdle();
+    }
+}
--- a/node/src/test/java/io/azurestage/node/TestMesh.java
+++ b/node/src/test/java/io/azurestage/node/TestMesh.java
@@ -30,14 +30,28 @@
             new HttpClient(new HttpClientTransportOverHTTP2(new HTTP2Client()));
     private final List<Endpoint> mEndpoints = new ArrayList<>();
     private final MeshConfig mConfig;
-    private final TimeSource mTime;
+    private final Site mSite;
 
     TestMesh() throws Exception {
         this(TimeSource.system(), 3);
     }
 
+    /** Where and when the nodes run. */
+    interface Site {
+        TimeSource time(String nodeId);
+
+        /** The address under which the other nodes know a node. */
+        default HostPort address(String nodeId, HostPort real) throws Exception {
+            return real;
+        }
+    }
+
     TestMesh(TimeSource time, int retryAllowance) throws Exception {
-        mTime = time;
+        this(nodeId -> time, retryAllowance);
+    }
+
+    TestMesh(Site site, int retryAllowance) throws Exception {
+        mSite = site;
         mConfig = config(retryAllowance);
         mClient.start();
         mHttp2.start();
@@ -72,11 +86,9 @@
 
     DataPlane add(String service, String next) throws Exception {
         FakeBackend backend = new FakeBackend(service, next);
+        String id = "node-" + mNodes.size();
         DataPlane node =
-                DataPlane.start(
-                        settings("node-" + mNodes.size(), service, backend.address()),
-                        mTime,
-                        e -> {});
+                DataPlane.start(settings(id, service, backend.address()), mSite.time(id), e -> {});
         backend.egress(node.egress());
         mBackends.add(backend);
         mNodes.add(node);
@@ -84,18 +96,41 @@
                 new Endpoint(
                         node.identity(),
                         service,
-                        node.ingress().toString(),
+                        mSite.address(id, node.ingress()).toString(),
                         "dc1",
                         "r1",
                         8,
                         Endpoint.State.SERVING,
                         0));
+        publish();
+        return node;
+    }
+
+    private void publish() {
         for (DataPlane n : mNodes) {
             n.apply(mConfig);
             n.serve();
             n.endpoints(mEndpoints);
         }
-        return node;
+    }
+
+    /** Starts to drain a node and tells the others. */
+    void drain(int i) {
+        Endpoint e = mEndpoints.get(i);
+        mEndpoints.set(
+                i,
+                new Endpoint(
+                        e.node(),
+                        e.service(),
+                        e.address(),
+                        e.dataCentre(),
+                        e.region(),
+                        e.slots(),
+                        Endpoint.State.DRAINING,
+                        e.startedAtMillis()));
+        mNodes.get(i).leave();
+        mNodes.forEach(n -> n.endpoints(mEndpoints));
+        mNodes.get(i).drain();
     }
 
     static NodeSettings settings(String nodeId, String service, HostPort backend)
