--- a/node/src/test/java/io/azurestage/node/PathFaultsTest.java
+++ b/node/src/test/java/io/azurestage/node/PathFaultsTest.java
@@ -21,8 +21,14 @@
     private void bring(Step step) throws Exception {
         mScene = new Scene(step);
         mScene.bring();
+        changeNode(step);
+    }
+
+    private void changeNode(Step step) throws Exception {
         if (step == Step.DRAINING) {
             mScene.mMesh.drain(1);
+        } else if (step == Step.CONFIGURATION_PUSH) {
+            mScene.mMesh.push(70);
         }
     }
 
@@ -60,13 +66,19 @@
     @ParameterizedTest
     @EnumSource(
             value = Step.class,
-            names = {"ARRIVAL", "QUEUED", "DISPATCHED", "RUNNING", "ANSWER_UNDER_WAY", "DRAINING"})
+            names = {
+                "ARRIVAL",
+                "QUEUED",
+                "DISPATCHED",
+                "RUNNING",
+                "ANSWER_UNDER_WAY",
+                "DRAINING",
+                "CONFIGURATION_PUSH"
+            })
     void slowdown(Step step) throws Exception {
         mScene = new Scene(step == Step.ARRIVAL ? Step.DISPATCHED : step).deadline(500);
         mScene.bring();
-        if (step == Step.DRAINING) {
-            mScene.mMesh.drain(1);
-        }
+        changeNode(step);
         mScene.check();
         finish(step);
         mScene.mMesh.awaitIdle();
@@ -83,7 +95,8 @@
                 "RUNNING",
                 "ANSWER_UNDER_WAY",
                 "ANSWERED",
-                "DRAINING"
+                "DRAINING",
+                "CONFIGURATION_PUSH"
             })
     void surge(Step step) throws Exception {
         bring(step);
@@ -105,7 +118,8 @@
                 "RUNNING",
                 "ANSWER_UNDER_WAY",
                 "ANSWERED",
-                "DRAINING"
+                "DRAINING",
+                "CONFIGURATION_PUSH"
             })
     void retryStorm(Step step) throws Exception {
         bring(step);
@@ -133,7 +147,8 @@
                 "RUNNING",
                 "ANSWER_UNDER_WAY",
                 "ANSWERED",
-                "DRAINING"
+                "DRAINING",
+                "CONFIGURATION_PUSH"
             })
     void nodeKilled(Step step) throws Exception {
         bring(step);
@@ -153,7 +168,8 @@
                 "RUNNING",
                 "ANSWER_UNDER_WAY",
                 "ANSWERED",
-                "DRAINING"
+                "DRAINING",
+                "CONFIGURATION_PUSH"
             })
     void nodePaused(Step step) throws Exception {
         bring(step);
@@ -180,7 +196,8 @@
                 "RUNNING",
                 "ANSWER_UNDER_WAY",
                 "ANSWERED",
-                "DRAINING"
+                "DRAINING",
+                "CONFIGURATION_PUSH"
             })
     void linkLost(Step step) throws Exception {
         bring(step);
--- a/node/src/test/java/io/azurestage/node/Scene.java
+++ b/node/src/test/java/io/azurestage/node/Scene.java
@@ -42,13 +42,14 @@
     private final List<Probe> mProbes = new ArrayList<>();
     private long mDeadlineMillis = 60_000;
     private Relay mRelay;
+    private volatile boolean mTruncate;
     private String mTicket;
 
     /** A request whose answer is checked. */
     record Probe(String service, String path, CompletableFuture<ContentResponse> answer) {}
 
     Scene(Step step) throws Exception {
-        mStep = step == Step.DRAINING ? Step.RUNNING : step;
+        mStep = step == Step.DRAINING || step == Step.CONFIGURATION_PUSH ? Step.RUNNING : step;
         mMesh = new TestMesh(this, 3);
         for (int i = 0; i < 3; i++) {
             FakeBackend b = mMesh.backend(i);
@@ -83,6 +84,11 @@
         return this;
     }
 
+    /** From now on, b breaks off its answers. */
+    void truncate() {
+        mTruncate = true;
+    }
+
     private void hold() {
         mHeld.incrementAndGet();
         try {
@@ -97,6 +103,10 @@
         if (mStep == Step.RUNNING || mStep == Step.QUEUED && filler) {
             hold();
         }
+        if (mTruncate) {
+            FakeBackend.breakOff(s, c);
+            return;
+        }
         FakeBackend.Answer answer = mMesh.backend(1).answerOfChain(q);
         if (mStep != Step.ANSWER_UNDER_WAY || answer.status() != 200) {
             FakeBackend.reply(s, c, answer);
@@ -138,7 +148,7 @@
         }
     }
 
-    private void awaitHeld(int count) {
+    void awaitHeld(int count) {
         Await.until(count + " requests are held at b", () -> mHeld.get() >= count);
     }
 
@@ -147,6 +157,10 @@
         advance(2);
     }
 
+    List<Probe> probes() {
+        return List.copyOf(mProbes);
+    }
+
     /** Sends the advance, or repeats it. */
     Probe advance(int entry) {
         return add(
@@ -176,7 +190,7 @@
 
     /** Checks what must hold of every request, whatever goes wrong. */
     void check() throws Exception {
-        for (Probe p : List.copyOf(mProbes)) {
+        for (Probe p : probes()) {
             check(p);
         }
         for (int i = 0; i < 3; i++) {
--- a/node/src/test/java/io/azurestage/node/TestMesh.java
+++ b/node/src/test/java/io/azurestage/node/TestMesh.java
@@ -29,7 +29,8 @@
     private final HttpClient mHttp2 =
             new HttpClient(new HttpClientTransportOverHTTP2(new HTTP2Client()));
     private final List<Endpoint> mEndpoints = new ArrayList<>();
-    private final MeshConfig mConfig;
+    private final int mRetryAllowance;
+    private MeshConfig mConfig;
     private final Site mSite;
 
     TestMesh() throws Exception {
@@ -52,7 +53,8 @@
 
     TestMesh(Site site, int retryAllowance) throws Exception {
         mSite = site;
-        mConfig = config(retryAllowance);
+        mRetryAllowance = retryAllowance;
+        mConfig = config(retryAllowance, 60);
         mClient.start();
         mHttp2.start();
         for (int i = 0; i < CHAIN.size(); i++) {
@@ -60,12 +62,12 @@
         }
     }
 
-    private static MeshConfig config(int retryAllowance) {
+    static MeshConfig config(int retryAllowance, int share) {
         ConfigBuilder b =
                 Azurestage.config()
                         .retryAllowance(retryAllowance)
-                        .partner("hire", p -> p.share(60).credential(CREDENTIAL))
-                        .partner("die", p -> p.share(40).credential("another credential"));
+                        .partner("hire", p -> p.share(share).credential(CREDENTIAL))
+                        .partner("die", p -> p.share(100 - share).credential("another credential"));
         for (String s : CHAIN) {
             b.service(s, x -> x.critical("POST", "/advances").normal("GET", "/bookings"));
         }
@@ -114,6 +116,12 @@
         }
     }
 
+    /** Puts a new cost split in force at all nodes. */
+    void push(int share) {
+        mConfig = config(mRetryAllowance, share);
+        mNodes.forEach(n -> n.apply(mConfig));
+    }
+
     /** Starts to drain a node and tells the others. */
     void drain(int i) {
         Endpoint e = mEndpoints.get(i);
