--- a/node/src/main/java/io/azurestage/node/ControlPlane.java
+++ b/node/src/main/java/io/azurestage/node/ControlPlane.java
@@ -103,7 +103,12 @@
         mStore.tick();
         if (mShared.lifecycle() == Lifecycle.JOINING) {
             checkReadiness();
-        } else if (mWarmUntil != 0 && mShared.time().nanos() - mWarmUntil >= 0) {
+            return;
+        }
+        if (!mNotReady.isEmpty() && isRouted()) {
+            mNotReady = "";
+        }
+        if (mWarmUntil != 0 && mShared.time().nanos() - mWarmUntil >= 0) {
             mWarmUntil = 0;
             if (mShared.lifecycle() == Lifecycle.SERVING) {
                 mMesh.setState(Member.State.SERVING);
@@ -162,6 +167,14 @@
                 m.startedAtMillis());
     }
 
+    private boolean isRouted() {
+        return mMembers.stream()
+                .anyMatch(
+                        m ->
+                                m.node().equals(mData.identity())
+                                        && m.state() != Member.State.JOINING);
+    }
+
     private void checkReadiness() {
         ReadinessRule rule =
                 ReadinessRule.of(
@@ -180,7 +193,8 @@
             mNotReady = "no other node has been heard yet";
             return;
         }
-        mNotReady = "";
+        // Until then a caller would hear that no backend server of this node's service is known.
+        mNotReady = "the node is not yet in its own routing table";
         mStore.serving();
         mData.serve();
         mWarmUntil = mShared.time().nanos() + Duration.ofMillis(mSettings.warmUpMillis()).toNanos();
