Bound the bytes of piggybacked updates

Cause: when two regions of 1,400 nodes lose each other, each node sends 7.9 KB/s for a minute (CapacityReport), over the 7 KB/s for control. Change: updates take at most 4 KB/s after a burst of 16 KB; every message keeps room for 100 bytes, so a drain is not held up.

--- a/core/src/main/java/io/azurestage/core/membership/Messenger.java
+++ b/core/src/main/java/io/azurestage/core/membership/Messenger.java
@@ -1,5 +1,6 @@
 package io.azurestage.core.membership;
 
+import io.azurestage.core.time.TimeSource;
 import io.azurestage.wire.generated.Envelope;
 import io.azurestage.wire.generated.NodeRef;
 
@@ -10,9 +11,13 @@
     private final MessageSink mSink;
     private final NodeRef mFrom;
     private final String mReplyAddress;
+    private final TimeSource mTime;
+    private final SendBudget mBudget;
     private long mSequence;
 
-    Messenger(MemberTable table, Gossip gossip, MessageSink sink) {
+    Messenger(MemberTable table, Gossip gossip, MessageSink sink, TimeSource time) {
+        mTime = time;
+        mBudget = new SendBudget(time.nanos());
         mTable = table;
         mGossip = gossip;
         mSink = sink;
@@ -34,7 +39,8 @@
     }
 
     void datagram(String address, Envelope.Builder message) {
-        mGossip.fill(message, mTable.peers().size() + 1);
+        int most = mBudget.room(mTime.nanos());
+        mBudget.spend(mGossip.fill(message, mTable.peers().size() + 1, most));
         mSink.send(address, message, Transport.UDP);
     }
 
