Judge deadlines by a quantile of the latest service times

Ruled out: the limit and the levels, which were back at once. Change: the 80 % quantile of the last 64 service times of a class, at most 1 s old; a hang still counts as long as it lasts.

--- a/core/src/main/java/io/azurestage/core/admission/ServiceTimes.java
+++ b/core/src/main/java/io/azurestage/core/admission/ServiceTimes.java
@@ -13,13 +13,13 @@
     private static final int MAX_GATHERED_WINDOWS = 5;
     private static final double KEEP_PER_WINDOW = 0.5;
     private static final double SHIFT_ERRORS = 4;
-    private static final double DEADLINE_DEVIATIONS = 2;
     private static final long STALE_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long MIN_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
     private static final int STALL_MEANS = 3;
 
     private final RunningMean[] mPast = new RunningMean[PartnerState.CLASSES];
     private final RunningMean[] mWindow = new RunningMean[PartnerState.CLASSES];
+    private final RecentTimes[] mRecent = new RecentTimes[PartnerState.CLASSES];
     private final RunningMean mAll = new RunningMean();
     private final int[] mGathered = new int[PartnerState.CLASSES];
     private final long[] mLastOfClass = new long[PartnerState.CLASSES];
@@ -30,11 +30,13 @@
         for (int c = 0; c < mPast.length; c++) {
             mPast[c] = new RunningMean();
             mWindow[c] = new RunningMean();
+            mRecent[c] = new RecentTimes();
         }
     }
 
     void add(int workClass, long heldNanos, long nowNanos) {
         mWindow[workClass].add(Math.max(1, heldNanos));
+        mRecent[workClass].add(heldNanos, nowNanos);
         mLastOfClass[workClass] = nowNanos;
         mLastNanos = nowNanos;
     }
@@ -79,17 +81,11 @@
     /**
      * Returns the time to allow for work that has to meet its deadline.
      *
-     * @return nanoseconds, 0 when nothing is known or the server is idle for a second. An estimate
-     *     that refuses all work would otherwise never be corrected. For the same reason, the
-     *     estimate of a class without completions for a second is replaced by that of all classes.
+     * @return nanoseconds, 0 when nothing has completed lately. An estimate that refuses all work
+     *     would otherwise never be corrected.
      */
     double forDeadline(int workClass, boolean busy, long nowNanos) {
-        if (!busy && nowNanos - mLastNanos > STALE_NANOS) {
-            return 0;
-        }
-        boolean stale = isStale(workClass, nowNanos);
-        RunningMean past = mPast[workClass].count() < 1 || stale ? mAll : mPast[workClass];
-        return stalled(past.mean(), busy, nowNanos) + DEADLINE_DEVIATIONS * past.deviation();
+        return stalled(mRecent[workClass].typical(nowNanos), busy, nowNanos);
     }
 
     private boolean isStale(int workClass, long nowNanos) {
