--- a/bench/src/test/java/io/azurestage/bench/DemoCheckTest.java
+++ b/bench/src/test/java/io/azurestage/bench/DemoCheckTest.java
@@ -2,8 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.azurestage.bench.standin.BackendSpec;
+import io.azurestage.bench.standin.RequestKey;
+import io.azurestage.bench.standin.ServiceTime;
+import io.azurestage.bench.standin.StandInBackend;
+import io.azurestage.bench.standin.StandInRuntime;
 import io.azurestage.bench.standin.WorkLedger;
 import io.azurestage.client.CallClass;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Nested;
@@ -103,6 +112,31 @@
                 .containsEntry("unknown", 2L);
     }
 
+    /** Guards against properties that only the backend servers can see being passed over. */
+    @Test
+    void namesThePropertiesThatTheBackendServersSee() throws Exception {
+        WorkLedger ledger = new WorkLedger();
+        CallLog.Attempt refused =
+                attempt(CallClass.CRITICAL, 20_000, Verdict.REFUSED, "overloaded");
+        BackendSpec spec =
+                new BackendSpec("a", 1, 1, ServiceTime.fixed(Duration.ZERO), List.of(), 1);
+        try (StandInRuntime runtime = new StandInRuntime(1);
+                StandInBackend backend = StandInBackend.start(spec, runtime, ledger)) {
+            HttpRequest request =
+                    HttpRequest.newBuilder(backend.address().resolve("/bookings"))
+                            .header(RequestKey.KEY_HEADER, refused.key())
+                            .header(RequestKey.CLASS_HEADER, "CRITICAL")
+                            .build();
+            HttpClient http = HttpClient.newHttpClient();
+            http.send(request, HttpResponse.BodyHandlers.discarding());
+            http.send(request, HttpResponse.BodyHandlers.discarding());
+        }
+        DemoCheck.Seen noRetries = new DemoCheck.Seen(0, 100, 300, 0, true, CLEAN);
+        assertThat(new DemoCheck(List.of(refused), ledger, noRetries).broken())
+                .extracting(message -> message.substring(0, 2))
+                .containsExactlyInAnyOrder("P1", "P4", "P5");
+    }
+
     @Nested
     class ClassOrder {
         private final CallLog.Attempt mShed =
