--- a/node/src/test/java/io/azurestage/node/Scene.java
+++ b/node/src/test/java/io/azurestage/node/Scene.java
@@ -52,8 +52,7 @@
         mStep = step == Step.DRAINING || step == Step.CONFIGURATION_PUSH ? Step.RUNNING : step;
         mMesh = new TestMesh(this, 3);
         for (int i = 0; i < 3; i++) {
-            FakeBackend b = mMesh.backend(i);
-            b.behaviour((q, s, c) -> FakeBackend.reply(s, c, b.answerOfChain(q)));
+            answerOfChain(mMesh.backend(i));
         }
         mMesh.backend(1).behaviour(this::runAtB);
         if (mStep == Step.DISPATCHED) {
@@ -61,6 +60,10 @@
         }
     }
 
+    static void answerOfChain(FakeBackend b) {
+        b.behaviour((q, s, c) -> FakeBackend.reply(s, c, b.answerOfChain(q)));
+    }
+
     @Override
     public TimeSource time(String nodeId) {
         return nodeId.equals(B) ? mTimeOfB : mTime;
