Test that the owner of a ticket still decides after a pause

Cause: the paused node of PathFaultsTest owned the tickets of sub-calls only, whose answers are replayed one hop above it.

Change: FaultPairsTest.ownerPausedAndAnswerLost pauses the owner of the caller's ticket for 5 minutes, within the window of 10, and repeats the advance through another entry node.

Conclusion: the registry outlives a pause of its node.

--- a/node/src/test/java/io/azurestage/node/FaultPairsTest.java
+++ b/node/src/test/java/io/azurestage/node/FaultPairsTest.java
@@ -108,6 +108,30 @@
         }
     }
 
+    // Guards against an owner that forgets a ticket while it is paused within the ticket's window.
+    @Test
+    void ownerPausedAndAnswerLost() throws Exception {
+        try (Scene s = new Scene(Step.ARRIVAL)) {
+            String ticket = s.mMesh.ticket(s.mMesh.node(2), "b");
+            List<String> answers = new ArrayList<>();
+            for (int entry : new int[] {2, 0}) {
+                org.eclipse.jetty.client.Request r =
+                        s.mMesh.advance(
+                                s.mMesh
+                                        .request(s.mMesh.node(entry), "POST", "/advances/paused")
+                                        .headers(h -> h.put(Headers.SERVICE, "b")),
+                                ticket);
+                answers.add(TestMesh.get(TestMesh.start(r)).getContentAsString());
+                s.mTimeOfB.hold();
+                s.mTime.advance(Duration.ofMinutes(5));
+                s.mTimeOfB.resume();
+            }
+            assertThat(answers.get(0)).isEqualTo("b/advances/paused>c/advances/paused");
+            assertThat(answers.get(1)).isEqualTo(answers.get(0));
+            assertThat(s.mMesh.backend(1).runs("/advances/paused")).isEqualTo(1);
+        }
+    }
+
     @Test
     void truncatedAnswerAndRetryStorm() throws Exception {
         try (Scene s = new Scene(Step.RUNNING)) {
