--- a/node/src/main/java/io/azurestage/node/ControlPlane.java
+++ b/node/src/main/java/io/azurestage/node/ControlPlane.java
@@ -21,7 +21,7 @@
 
 /** Membership, configuration and readiness of a node. Drives the data plane. */
 final class ControlPlane implements AutoCloseable {
-    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration TICK = Duration.ofMillis(100);
     private static final int RING = 4096;
     // A store that has lost writes must not be believed before another node was heard.
     private static final Duration PEER_WAIT = Duration.ofSeconds(3);
