Refuse a partner only when its demand is surely above its part

Cause: a partner that asked for 0.25 of capacity with a share of 0.30 was refused 1.7 % of its requests while another surged: 20 requests a second and server are few, and a high estimate alone lowered its fraction. Change: the fraction falls below 1 only when the demand less its standard error is above the allotted part.

--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -349,17 +349,18 @@
         mDemand.roll(seconds);
         mPartners.dropIdle(now);
         double capacity = mOffer.roll(limit(), mWaitBound.targetNanos(meanNanos(now)));
-        mFractions = FractionPlan.compute(mPartners, this::demandSlots, limit(), capacity, now);
+        mFractions = FractionPlan.compute(mPartners, this::demand, limit(), capacity, now);
         mLoans = mLoanBook.update(limit(), now);
     }
 
-    private double demandSlots(PartnerClass key) {
+    private Demand demand(PartnerClass key) {
         DemandWindow window = mDemand.windows().get(key);
         if (window == null) {
-            return 0;
+            return Demand.NONE;
         }
         boolean busy = !mRunning.isEmpty();
         double mean = mTimes.mean(key.workClass().ordinal(), busy, mTime.nanos());
-        return window.rate() * mean / TimeUnit.SECONDS.toNanos(1);
+        double slotsPerRate = mean / TimeUnit.SECONDS.toNanos(1);
+        return new Demand(window.rate() * slotsPerRate, window.error() * slotsPerRate);
     }
 }
--- a/core/src/main/java/io/azurestage/core/admission/DemandWindow.java
+++ b/core/src/main/java/io/azurestage/core/admission/DemandWindow.java
@@ -45,6 +45,11 @@
         return mRate;
     }
 
+    /** Returns the standard error of the rate, in requests per second. */
+    double error() {
+        return Math.sqrt(mVariance);
+    }
+
     private boolean takeShift(double seconds) {
         double weight = 0;
         double square = 0;
--- a/core/src/main/java/io/azurestage/core/admission/FractionPlan.java
+++ b/core/src/main/java/io/azurestage/core/admission/FractionPlan.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.ToDoubleFunction;
+import java.util.function.Function;
 
 /** Divides the capacity over the demands: strict classes, weighted max-min inside each class. */
 final class FractionPlan {
@@ -12,14 +12,14 @@
     static final double MIN_FRACTION = 0.01;
 
     private final List<PartnerState> mPartners;
-    private final ToDoubleFunction<PartnerClass> mDemand;
+    private final Function<PartnerClass, Demand> mDemand;
     private final int mLimit;
     private final long mNowNanos;
     private final Map<PartnerClass, Double> mFractions = new HashMap<>();
 
     private FractionPlan(
             PartnerTable partners,
-            ToDoubleFunction<PartnerClass> demand,
+            Function<PartnerClass, Demand> demand,
             int limit,
             long nowNanos) {
         mPartners = List.copyOf(partners.all());
@@ -32,7 +32,7 @@
      * Computes the admitted fractions.
      *
      * @param partners the partners and their shares
-     * @param demand demand of a partner and class in slots
+     * @param demand demand of a partner and class
      * @param limit concurrency limit, of which the floors are parts
      * @param capacity slots to divide
      * @param nowNanos monotonic time
@@ -40,7 +40,7 @@
      */
     static Map<PartnerClass, Double> compute(
             PartnerTable partners,
-            ToDoubleFunction<PartnerClass> demand,
+            Function<PartnerClass, Demand> demand,
             int limit,
             double capacity,
             long nowNanos) {
@@ -55,21 +55,21 @@
     /** Divides what the more important classes leave, and returns how much of it is used. */
     private double divide(WorkClass workClass, double capacity) {
         int n = mPartners.size();
-        double[] demands = new double[n];
+        Demand[] demands = new Demand[n];
         double[] claims = new double[n];
         double[] weights = new double[n];
         for (int i = 0; i < n; i++) {
             PartnerState p = mPartners.get(i);
-            demands[i] = mDemand.applyAsDouble(new PartnerClass(p.name(), workClass));
-            claims[i] = Math.max(demands[i], unlentFloor(p, workClass));
+            demands[i] = mDemand.apply(new PartnerClass(p.name(), workClass));
+            claims[i] = Math.max(demands[i].slots(), unlentFloor(p, workClass));
             weights[i] = p.share();
         }
         double[] allotted = WaterFilling.divide(capacity, claims, weights);
         double used = 0;
         for (int i = 0; i < n; i++) {
-            used += Math.min(allotted[i], demands[i]);
-            if (demands[i] > allotted[i]) {
-                double fraction = Math.max(MIN_FRACTION, allotted[i] / demands[i]);
+            used += Math.min(allotted[i], demands[i].slots());
+            if (demands[i].surely() > allotted[i]) {
+                double fraction = Math.max(MIN_FRACTION, allotted[i] / demands[i].slots());
                 mFractions.put(new PartnerClass(mPartners.get(i).name(), workClass), fraction);
             }
         }
