--- a/node/src/main/java/io/azurestage/node/Call.java
+++ b/node/src/main/java/io/azurestage/node/Call.java
@@ -3,8 +3,11 @@
 import io.azurestage.config.Operation;
 import io.azurestage.config.WorkClass;
 import io.azurestage.core.admission.ChainKey;
+import io.azurestage.core.context.NodeIdentity;
+import io.azurestage.core.context.RequestContext;
 import io.azurestage.core.context.RequestId;
 import io.azurestage.core.once.Ticket;
+import io.azurestage.core.time.HlcTime;
 import java.time.Instant;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
@@ -76,4 +79,30 @@
                 repeatable,
                 retry);
     }
+
+    /**
+     * The context of one attempt at this call.
+     *
+     * @param audience the node incarnation that the attempt is sent to
+     * @param attemptId identifies the attempt
+     * @param allowance retries that the attempt may use
+     * @param again whether it is a retry
+     * @param time hybrid logical time of this node
+     */
+    RequestContext context(
+            NodeIdentity audience, long attemptId, int allowance, boolean again, HlcTime time) {
+        return new RequestContext(
+                id,
+                partner,
+                workClass,
+                deadline,
+                allowance,
+                attemptId,
+                depth,
+                entryFraction,
+                repeatable,
+                again,
+                audience,
+                time);
+    }
 }
--- a/node/src/main/java/io/azurestage/node/Forwarding.java
+++ b/node/src/main/java/io/azurestage/node/Forwarding.java
@@ -112,7 +112,14 @@
                     Optional.of(mShared.tickets().issue(e.node(), e.service(), mCall.partner()));
         }
         Loan loan = mAllowance.loan();
-        RequestContext ctx = context(e, loan.retries());
+        boolean retry = mRetries > 0 || mCall.retry();
+        RequestContext ctx =
+                mCall.context(
+                        e.node(),
+                        mShared.randomId(),
+                        loan.retries(),
+                        retry,
+                        mShared.clock().tick());
         Request request;
         try {
             request = request(e, ctx, left);
@@ -155,22 +162,6 @@
         }
     }
 
-    private RequestContext context(Endpoint e, int lent) {
-        return new RequestContext(
-                mCall.id(),
-                mCall.partner(),
-                mCall.workClass(),
-                mCall.deadline(),
-                lent,
-                mShared.randomId(),
-                mCall.depth(),
-                mCall.entryFraction(),
-                mCall.repeatable(),
-                mRetries > 0 || mCall.retry(),
-                e.node(),
-                mShared.clock().tick());
-    }
-
     /**
      * The final refusal: not-run only if no attempt may have run. With the caller's ticket an
      * earlier call may have run too, so only the owner can say not-run.
