Revert "Bound the bytes of piggybacked updates"

Cause: the bound was meant to keep two regions of 1,400 nodes that lose each other under 7 KB/s a node. It does the opposite. Suspected, not traced: deaths spread more slowly, and more nodes probe the dead themselves.

--- a/core/src/main/java/io/azurestage/core/membership/Gossip.java
+++ b/core/src/main/java/io/azurestage/core/membership/Gossip.java
@@ -60,13 +60,9 @@
      *
      * @param message the message so far
      * @param members size of the mesh
-     * @param most most bytes of updates
-     * @return bytes of updates that were appended
      */
-    int fill(Envelope.Builder message, int members, int most) {
-        int free = DATAGRAM_BYTES - STAMP_BYTES - message.buildPartial().getSerializedSize();
-        int room = Math.min(free, most);
-        int appended = 0;
+    void fill(Envelope.Builder message, int members) {
+        int room = DATAGRAM_BYTES - STAMP_BYTES - message.buildPartial().getSerializedSize();
         int limit = sends(members);
         List<Update> sent = new ArrayList<>();
         List<Integer> counts = new ArrayList<>();
@@ -82,7 +78,6 @@
                         break;
                     }
                     room -= size;
-                    appended += size;
                     message.addUpdates(w);
                     sent.add(u);
                     counts.add(i + 1);
@@ -93,7 +88,6 @@
         for (int i = 0; i < sent.size(); i++) {
             requeue(sent.get(i), counts.get(i), limit);
         }
-        return appended;
     }
 
     /** Forgets what has been spread, after a random peer turned out to have the same table. */
--- a/core/src/main/java/io/azurestage/core/membership/Membership.java
+++ b/core/src/main/java/io/azurestage/core/membership/Membership.java
@@ -69,7 +69,7 @@
         mListener = listener;
         mLastTick = time.nanos();
         mTable = new MemberTable(self, random);
-        mMessenger = new Messenger(mTable, mGossip, sink, time);
+        mMessenger = new Messenger(mTable, mGossip, sink);
         Prober.Outcome outcome =
                 new Prober.Outcome() {
                     @Override
--- a/core/src/main/java/io/azurestage/core/membership/Messenger.java
+++ b/core/src/main/java/io/azurestage/core/membership/Messenger.java
@@ -1,6 +1,5 @@
 package io.azurestage.core.membership;
 
-import io.azurestage.core.time.TimeSource;
 import io.azurestage.wire.generated.Envelope;
 import io.azurestage.wire.generated.NodeRef;
 
@@ -11,13 +10,9 @@
     private final MessageSink mSink;
     private final NodeRef mFrom;
     private final String mReplyAddress;
-    private final TimeSource mTime;
-    private final SendBudget mBudget;
     private long mSequence;
 
-    Messenger(MemberTable table, Gossip gossip, MessageSink sink, TimeSource time) {
-        mTime = time;
-        mBudget = new SendBudget(time.nanos());
+    Messenger(MemberTable table, Gossip gossip, MessageSink sink) {
         mTable = table;
         mGossip = gossip;
         mSink = sink;
@@ -39,8 +34,7 @@
     }
 
     void datagram(String address, Envelope.Builder message) {
-        int most = mBudget.room(mTime.nanos());
-        mBudget.spend(mGossip.fill(message, mTable.peers().size() + 1, most));
+        mGossip.fill(message, mTable.peers().size() + 1);
         mSink.send(address, message, Transport.UDP);
     }
 
