Keep one pair of watches when the seeds have to be read again

Cause: after a lost answer to a seeds write, a watcher reads the store again and opened two more watches beside its own, which stayed open for good. Found by reading. The node also ranked all members ten times a second. Change: a node that watches already keeps its watches; members are ranked only when the table has changed. Before: the new test finds 2 watches left after the node has stopped. After: 0; 15 of 15 tests of ControlFaultsTest pass.

--- a/node/src/main/java/io/azurestage/node/StoreLink.java
+++ b/node/src/main/java/io/azurestage/node/StoreLink.java
@@ -46,6 +46,8 @@
     private final EventLog mEvents;
     private final Consumer<Runnable> mDuty;
     private final Map<String, Versioned> mSeeds = new HashMap<>();
+    private List<Member> mRanked = List.of();
+    private OptionalInt mPlace = OptionalInt.empty();
     private boolean mRead;
     private boolean mBusy;
     private boolean mWatching;
@@ -94,8 +96,7 @@
     }
 
     void tick() {
-        List<Member> members = mMesh.members();
-        boolean watcher = Watchers.place(members, mSettings.nodeId()).isPresent();
+        boolean watcher = place().isPresent();
         if (!watcher && mWatching) {
             stopWatching();
         }
@@ -105,15 +106,25 @@
             read(watcher);
         } else if (mRead && !mBusy && now - mNextSeeds >= 0) {
             mNextSeeds = now + jittered(SEEDS_INTERVAL).toNanos();
-            refreshSeeds(members);
+            refreshSeeds(mMesh.members());
         }
     }
 
-    private boolean isFirstWatcher(List<Member> members) {
-        OptionalInt place = Watchers.place(members, mSettings.nodeId());
+    private boolean isFirstWatcher() {
+        OptionalInt place = place();
         return place.isPresent() && place.getAsInt() == 0;
     }
 
+    /** Ranks the members only when they have changed, since the cost grows with the fleet. */
+    private OptionalInt place() {
+        List<Member> members = mMesh.members();
+        if (members != mRanked) {
+            mRanked = members;
+            mPlace = Watchers.place(members, mSettings.nodeId());
+        }
+        return mPlace;
+    }
+
     private void read(boolean watcher) {
         mBusy = true;
         mStore.get(StoreKeys.CONFIG, false)
@@ -146,7 +157,7 @@
         seeds.values().forEach(this::onSeeds);
         compare(stored, value.map(Versioned::revision).orElse(PlatformStore.ABSENT));
         mRead = true;
-        if (watcher) {
+        if (watcher && !mWatching) {
             startWatching(config.revision() + 1);
         }
     }
@@ -169,7 +180,7 @@
     }
 
     private void compare(Optional<ConfigRecord> stored, long revision) {
-        StoreView view = StoreView.of(mMesh.config(), stored, isFirstWatcher(mMesh.members()));
+        StoreView view = StoreView.of(mMesh.config(), stored, isFirstWatcher());
         if (view instanceof StoreView.Adopt adopt) {
             mMesh.offerConfig(adopt.record());
         } else if (view instanceof StoreView.Behind behind) {
@@ -240,7 +251,7 @@
     }
 
     private void refreshSeeds(List<Member> members) {
-        if (!isFirstWatcher(members)) {
+        if (!isFirstWatcher()) {
             return;
         }
         String key = StoreKeys.SEEDS + mSettings.dataCentre();
--- a/node/src/test/java/io/azurestage/node/ControlFaultsTest.java
+++ b/node/src/test/java/io/azurestage/node/ControlFaultsTest.java
@@ -66,6 +66,21 @@
         assertThat(seeds).containsOnlyOnce("\"n1\"");
     }
 
+    // Guards against a second pair of watches each time the seeds have to be read again.
+    @Test
+    void aLostAnswerLeavesNoWatchBehind() throws Exception {
+        mNodes.mStore.mode(FakeStore.Mode.LOSES_ANSWERS);
+        Node n = mNodes.ready();
+        mNodes.await("a write lost its answer", () -> mNodes.mStore.lostAnswers() > 0);
+        mNodes.mStore.mode(FakeStore.Mode.UP);
+        mNodes.pass(Duration.ofSeconds(10));
+        // Configuration and seeds at the start, and both again after the lost answer.
+        mNodes.await("the seeds are read again", () -> mNodes.mStore.reads() >= 4);
+        n.drain();
+        n.awaitStopped();
+        assertThat(mNodes.mStore.watches()).isZero();
+    }
+
     // Guards against requests that depend on the store.
     @ParameterizedTest
     @EnumSource(
--- a/node/src/test/java/io/azurestage/node/FakeStore.java
+++ b/node/src/test/java/io/azurestage/node/FakeStore.java
@@ -34,6 +34,7 @@
     private Mode mMode = Mode.UP;
     private long mRevision = 1;
     private int mLostAnswers;
+    private int mReads;
 
     /** Changes the mode; a store that goes down breaks all watches. */
     synchronized void mode(Mode mode) {
@@ -56,6 +57,10 @@
         return mLostAnswers;
     }
 
+    synchronized int reads() {
+        return mReads;
+    }
+
     synchronized int watches() {
         return mWatches.size();
     }
@@ -85,6 +90,7 @@
     }
 
     private synchronized ReadResult read(String key, boolean prefix) {
+        mReads++;
         if (mMode == Mode.DOWN) {
             return new ReadResult.Unavailable("the store is down");
         }
