--- a/bench/src/test/java/io/azurestage/bench/standin/StandInStoreTest.java
+++ b/bench/src/test/java/io/azurestage/bench/standin/StandInStoreTest.java
@@ -29,7 +29,9 @@
                 HttpRequest.newBuilder(store.uri().resolve("/v3/kv/range"))
                         .POST(HttpRequest.BodyPublishers.ofString("{\"key\":\"aw==\"}"))
                         .build();
-        return mHttp.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+        // A pooled connection that the store has just closed fails before the client notices it.
+        HttpClient unpooled = HttpClient.newHttpClient();
+        return unpooled.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
     }
 
     @Test
