Use one wrapper for long answers, and read a level only once per call

Cause: Flights and SubCallSink each had their own copy of a stream that reports its end, and the entry computed the level of a chain a second time for every admitted call because orElse evaluates its argument. Change: EndingStream serves both; orElseGet reads the level only for a refusal. No timing was taken.

--- /dev/null
+++ b/node/src/main/java/io/azurestage/node/EndingStream.java
@@ -0,0 +1,32 @@
+package io.azurestage.node;
+
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+
+/** Passes the parts of a long answer on and tells when it has ended, whole or broken off. */
+final class EndingStream implements StreamSink {
+    private final StreamSink mNext;
+    private final Runnable mEnded;
+
+    EndingStream(StreamSink next, Runnable ended) {
+        mNext = next;
+        mEnded = ended;
+    }
+
+    @Override
+    public void write(ByteBuffer part, Runnable written, Consumer<Throwable> failed) {
+        mNext.write(part, written, failed);
+    }
+
+    @Override
+    public void end() {
+        mEnded.run();
+        mNext.end();
+    }
+
+    @Override
+    public void abort(Throwable cause) {
+        mEnded.run();
+        mNext.abort(cause);
+    }
+}
--- a/node/src/main/java/io/azurestage/node/Entry.java
+++ b/node/src/main/java/io/azurestage/node/Entry.java
@@ -197,7 +197,9 @@
     }
 
     private double admittedFraction(ChainKey key, RequestId id) {
-        return mShared.levels().admit(key, id.rank()).orElse(mShared.levels().fraction(key));
+        return mShared.levels()
+                .admit(key, id.rank())
+                .orElseGet(() -> mShared.levels().fraction(key));
     }
 
     private Call call(RequestId id, Request request, byte[] body, Optional<Ticket> ticket) {
--- a/node/src/main/java/io/azurestage/node/Flights.java
+++ b/node/src/main/java/io/azurestage/node/Flights.java
@@ -53,7 +53,7 @@
 
         @Override
         public StreamSink stream(int status, HttpFields headers) {
-            return new TrackedStream(this, mNext.stream(status, headers));
+            return new EndingStream(mNext.stream(status, headers), this::end);
         }
 
         private boolean end() {
@@ -64,34 +64,4 @@
             return true;
         }
     }
-
-    private static final class TrackedStream implements StreamSink {
-        private final Tracked mTracked;
-        private final StreamSink mNext;
-
-        TrackedStream(Tracked tracked, StreamSink next) {
-            mTracked = tracked;
-            mNext = next;
-        }
-
-        @Override
-        public void write(
-                java.nio.ByteBuffer part,
-                Runnable written,
-                java.util.function.Consumer<Throwable> failed) {
-            mNext.write(part, written, failed);
-        }
-
-        @Override
-        public void end() {
-            mTracked.end();
-            mNext.end();
-        }
-
-        @Override
-        public void abort(Throwable cause) {
-            mTracked.end();
-            mNext.abort(cause);
-        }
-    }
 }
--- a/node/src/main/java/io/azurestage/node/SubCallSink.java
+++ b/node/src/main/java/io/azurestage/node/SubCallSink.java
@@ -1,7 +1,5 @@
 package io.azurestage.node;
 
-import java.nio.ByteBuffer;
-import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 
 /** Ends the waiting time of the parent request when the answer of a sub-call is there. */
@@ -28,24 +26,6 @@
 
     @Override
     public StreamSink stream(int status, HttpFields headers) {
-        StreamSink s = mNext.stream(status, headers);
-        return new StreamSink() {
-            @Override
-            public void write(ByteBuffer part, Runnable written, Consumer<Throwable> failed) {
-                s.write(part, written, failed);
-            }
-
-            @Override
-            public void end() {
-                mEnded.run();
-                s.end();
-            }
-
-            @Override
-            public void abort(Throwable cause) {
-                mEnded.run();
-                s.abort(cause);
-            }
-        };
+        return new EndingStream(mNext.stream(status, headers), mEnded);
     }
 }
