Keep leaving servers known over a restart, and attribute calls by operation

Leaving servers are now recorded in the store before the acknowledgement, and a report without a start time covers all incarnations up to now. Also: calls of servers are told from clients' requests by the callers' services, estimates of time by operation, hello time-out of links, retry budget by class.

--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -25,6 +25,12 @@
  * }</pre>
  */
 public final class AdmissionController {
+    /**
+     * Wait that callers of deep chains can bear at one service: a chain makes about five calls one
+     * after the other, and its callers aim for more than a second.
+     */
+    private static final Duration DEEP_TARGET = Duration.ofMillis(120);
+
     private static final long WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final TimeSource mTime;
@@ -80,7 +86,7 @@
     public static AdmissionController withFixedLimit(int slots, TimeSource time) {
         Tuning t = Tuning.DEFAULT;
         Tuning fixed =
-                new Tuning(false, t.order(), t.target(), t.targetServiceTimes(), t.horizon());
+                new Tuning(false, t.order(), DEEP_TARGET, t.targetServiceTimes(), t.horizon());
         return new AdmissionController(slots, time, (lender, borrower, c, lent) -> {}, fixed);
     }
 
@@ -148,7 +154,7 @@
         long now = mTime.nanos();
         running.partner().usage(running.classIndex()).end(now);
         if (c.outcome() != Completion.Outcome.SERVER_REFUSED) {
-            mTimes.add(running.demandIndex(), c.totalNanos(), now);
+            mTimes.add(running, c.totalNanos(), now);
         }
         mLimit.completed(c, mRunning.size());
         dispatch(now);
@@ -350,7 +356,7 @@
     }
 
     private boolean isLate(Waiting w, double waitNanos, long now) {
-        double needed = mTimes.forDeadline(w.demandIndex(), !mRunning.isEmpty(), now) + waitNanos;
+        double needed = mTimes.forDeadline(w, !mRunning.isEmpty(), now) + waitNanos;
         long left = w.work().deadlineNanos() - now;
         return left <= 0 || left < needed;
     }
--- a/core/src/main/java/io/azurestage/core/admission/QueueOrder.java
+++ b/core/src/main/java/io/azurestage/core/admission/QueueOrder.java
@@ -12,7 +12,10 @@
     private final Comparator<Waiting> mComparator;
 
     QueueOrder(Comparator<Waiting> comparator) {
-        mComparator = comparator.thenComparingLong(Waiting::sequence);
+        mComparator =
+                Comparator.comparing((Waiting w) -> !w.work().inProgress())
+                        .thenComparing(comparator)
+                        .thenComparingLong(Waiting::sequence);
     }
 
     Comparator<Waiting> comparator() {
--- a/core/src/main/java/io/azurestage/core/admission/ServiceTimes.java
+++ b/core/src/main/java/io/azurestage/core/admission/ServiceTimes.java
@@ -1,9 +1,12 @@
 package io.azurestage.core.admission;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** Time that work holds its slot, by class. */
 final class ServiceTimes {
+    private static final int MAX_OPERATIONS = 1_024;
     private static final double MIN_SAMPLES = 100;
 
     /** Two slow answers in a row are no sign that the server has become slow. */
@@ -19,7 +22,7 @@
 
     private final RunningMean[] mPast = new RunningMean[PartnerState.CLASSES];
     private final RunningMean[] mWindow = new RunningMean[PartnerState.CLASSES];
-    private final RecentTimes[] mRecent = new RecentTimes[PartnerState.CLASSES];
+    private final Map<String, RecentTimes> mRecent = new HashMap<>();
     private final RunningMean mAll = new RunningMean();
     private final int[] mGathered = new int[PartnerState.CLASSES];
     private final long[] mLastOfClass = new long[PartnerState.CLASSES];
@@ -30,13 +33,13 @@
         for (int c = 0; c < mPast.length; c++) {
             mPast[c] = new RunningMean();
             mWindow[c] = new RunningMean();
-            mRecent[c] = new RecentTimes();
         }
     }
 
-    void add(int workClass, long heldNanos, long nowNanos) {
+    void add(Waiting w, long heldNanos, long nowNanos) {
+        int workClass = w.classIndex();
         mWindow[workClass].add(Math.max(1, heldNanos));
-        mRecent[workClass].add(heldNanos, nowNanos);
+        recent(w).add(heldNanos, nowNanos);
         mLastOfClass[workClass] = nowNanos;
         mLastNanos = nowNanos;
     }
@@ -84,8 +87,18 @@
      * @return nanoseconds, 0 when nothing has completed lately. An estimate that refuses all work
      *     would otherwise never be corrected.
      */
-    double forDeadline(int workClass, boolean busy, long nowNanos) {
-        return stalled(mRecent[workClass].typical(nowNanos), busy, nowNanos);
+    double forDeadline(Waiting w, boolean busy, long nowNanos) {
+        return stalled(recent(w).typical(nowNanos), busy, nowNanos);
+    }
+
+    /** Operations of one class may differ a lot in time, so each has its own estimate. */
+    private RecentTimes recent(Waiting w) {
+        String operation = w.work().operation();
+        String key = operation.isEmpty() ? w.work().workClass().name() : operation;
+        if (mRecent.size() >= MAX_OPERATIONS && !mRecent.containsKey(key)) {
+            mRecent.clear();
+        }
+        return mRecent.computeIfAbsent(key, k -> new RecentTimes());
     }
 
     private boolean isStale(int workClass, long nowNanos) {
--- a/core/src/main/java/io/azurestage/core/admission/Waiting.java
+++ b/core/src/main/java/io/azurestage/core/admission/Waiting.java
@@ -1,7 +1,5 @@
 package io.azurestage.core.admission;
 
-import io.azurestage.config.WorkClass;
-
 /**
  * A request between its arrival and its end.
  *
@@ -22,13 +20,7 @@
         return System.identityHashCode(this);
     }
 
-    /** Class in whose turn the work is served: calls of running requests go first. */
     int classIndex() {
-        return work.inProgress() ? WorkClass.CRITICAL.ordinal() : work.workClass().ordinal();
-    }
-
-    /** Class whose demand and service times the work belongs to. */
-    int demandIndex() {
         return work.workClass().ordinal();
     }
 }
--- a/core/src/main/java/io/azurestage/core/admission/Work.java
+++ b/core/src/main/java/io/azurestage/core/admission/Work.java
@@ -11,8 +11,11 @@
  * @param deadlineNanos deadline on the monotonic clock
  * @param entryFraction admitted fraction in force where the request entered, in (0,1]
  * @param retry whether this is a retry
- * @param inProgress whether this is a call of a request that runs already: it goes first and is
- *     refused only when it cannot meet its deadline, because the work done so far would be wasted
+ * @param operation operation of the service, whose usual time is compared with the deadline; empty
+ *     to compare with the usual time of the class
+ * @param inProgress whether this is a call of a request that runs already: it goes first in its
+ *     class and is refused only when it cannot meet its deadline, because the work done so far
+ *     would be wasted
  * @param listener receives the decision
  */
 public record Work(
@@ -22,6 +25,7 @@
         long deadlineNanos,
         double entryFraction,
         boolean retry,
+        String operation,
         boolean inProgress,
         WorkListener listener) {
 
@@ -44,7 +48,7 @@
             double entryFraction,
             boolean retry,
             WorkListener listener) {
-        this(partner, workClass, rank, deadlineNanos, entryFraction, retry, false, listener);
+        this(partner, workClass, rank, deadlineNanos, entryFraction, retry, "", false, listener);
     }
 
     @Override
--- a/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
@@ -64,7 +64,8 @@
         mServer = server(h, h.draining() ? BackendState.DRAINING : BackendState.READY);
         mSequence = h.sequence();
         mHeardNanos = mTime.nanos();
-        mLeavingNanos = mHeardNanos;
+        // Another process may have acknowledged the leaving of a server first seen as leaving.
+        mLeavingNanos = mHeardNanos - mDrain.toNanos();
         return true;
     }
 
@@ -99,8 +100,10 @@
     public boolean left(String serverId, long startedAtMillis) {
         boolean current = mServer != null && mServer.serverId().equals(serverId);
         long started = startedAtMillis;
-        if (current && started == 0) {
-            started = mServer.startedAtMillis();
+        if (started == 0) {
+            // A server may report to a process that has not heard of it yet, without saying when it
+            // started. A later incarnation starts after this report.
+            started = current ? mServer.startedAtMillis() : mTime.now().toEpochMilli();
         }
         mLeft.merge(serverId, started, Math::max);
         if (!current || started < mServer.startedAtMillis()) {
--- a/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
+++ b/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
@@ -4,20 +4,18 @@
 import io.azurestage.core.time.TimeSource;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
  * Attributes calls of a backend server to the requests that it runs. A call carries no id of its
- * parent, so for each pair of a chain and a called operation the rate of calls per running request
- * is estimated, and a call is attributed in proportion to these rates. With many requests at once a
- * single attribution may be wrong, but the proportions are right, which is what demand by class
- * needs. Not thread-safe.
+ * parent, so for each pair of an operation that runs and one that is called the rate of calls per
+ * running request is estimated, and a call is attributed in proportion to these rates. With many
+ * requests at once a single attribution may be wrong, but the proportions are right, which is what
+ * demand by class needs. Not thread-safe.
  */
 public final class CallAttribution {
     private static final double HALF_LIFE_SECONDS = 10;
@@ -26,6 +24,13 @@
     private static final double PRIOR_SECONDS = 1;
 
     private static final double PRIOR_CALLS = 0.5;
+
+    /** Requests after which the estimates of two chains that run together have parted. */
+    private static final double ENOUGH_STARTS = 100;
+
+    /** Calls a request that are not explained by wrong attribution. */
+    private static final double SURE_CALLS = 0.6;
+
     private static final int MAX_CHAINS = 256;
 
     private static final class Chain {
@@ -37,8 +42,7 @@
 
     private final TimeSource mTime;
     private final RandomGenerator mRandom;
-    private final Map<ChainKey, Chain> mChains = new HashMap<>();
-    private final Set<String> mCalled = new HashSet<>();
+    private final Map<String, Chain> mChains = new HashMap<>();
     private long mLast;
 
     /**
@@ -63,7 +67,7 @@
         if (mChains.size() >= MAX_CHAINS) {
             mChains.values().removeIf(c -> c.mRunning.isEmpty());
         }
-        Chain c = mChains.computeIfAbsent(s.chain(), k -> new Chain());
+        Chain c = mChains.computeIfAbsent(s.chain().operation(), k -> new Chain());
         c.mRunning.add(s);
         c.mStarts++;
     }
@@ -75,7 +79,7 @@
      */
     public void ended(CallSource s) {
         advance();
-        Chain c = mChains.get(s.chain());
+        Chain c = mChains.get(s.chain().operation());
         if (c != null) {
             c.mRunning.remove(s);
         }
@@ -89,7 +93,6 @@
      */
     public Optional<CallSource> attribute(String operation) {
         advance();
-        mCalled.add(operation);
         double sum = 0;
         for (Chain c : mChains.values()) {
             sum += weight(c, operation);
@@ -124,13 +127,27 @@
      * @return calls of all operations for each request, 0 if none is known
      */
     public double callsPerRequest(ChainKey chain) {
-        Chain c = mChains.get(chain);
+        Chain c = mChains.get(chain.operation());
         if (c == null || c.mStarts < 1) {
             return 0;
         }
         return c.mCalls.values().stream().mapToDouble(n -> n).sum() / c.mStarts;
     }
 
+    /**
+     * Reports whether requests of a chain surely make calls of an operation.
+     *
+     * @param chain the chain
+     * @param operation called operation
+     * @return whether a good part of enough requests has made such a call
+     */
+    public boolean makesCalls(ChainKey chain, String operation) {
+        Chain c = mChains.get(chain.operation());
+        return c != null
+                && c.mStarts >= ENOUGH_STARTS
+                && c.mCalls.getOrDefault(operation, 0.0) >= SURE_CALLS * c.mStarts;
+    }
+
     private double weight(Chain c, String operation) {
         if (c.mRunning.isEmpty()) {
             return 0;
--- a/core/src/main/java/io/azurestage/core/event/EventType.java
+++ b/core/src/main/java/io/azurestage/core/event/EventType.java
@@ -50,6 +50,8 @@
     ENTRY_UNREADABLE(510, Severity.WARNING, "an entry in the store cannot be read and is not used"),
     SERVER_CHANGED(511, Severity.INFO, "the backend server beside a node changed its state"),
     HEARTBEAT_REFUSED(512, Severity.WARNING, "a heartbeat cannot be read and is not used"),
+    LEAVE_NOT_RECORDED(
+            513, Severity.WARNING, "the store does not hold that a backend server leaves"),
     NODE_SUPERSEDED(506, Severity.ERROR, "another process runs under this node id"),
 
     CONFIG_ADOPTED(600, Severity.INFO, "a configuration version is in force"),
--- a/core/src/main/java/io/azurestage/core/retry/RetryBudget.java
+++ b/core/src/main/java/io/azurestage/core/retry/RetryBudget.java
@@ -13,11 +13,14 @@
  * so that the sum over all nodes stays within the bound in every window. Not thread-safe.
  */
 public final class RetryBudget {
-    /** Half of the constant allowance accrues; the other half is what the nodes may hold. */
-    private static final double ACCRUED_PART = 0.5;
+    /** Part of the constant allowance that accrues in each window. */
+    private static final double ACCRUED_PART = 0.3;
 
-    /** Part of the allowed ratio that is used, as the rest covers retries of calls below. */
-    private static final double RATIO_PART = 0.5;
+    /** Part of the constant allowance that all nodes together may hold at once. */
+    private static final double HELD_PART = 0.6;
+
+    /** Part of the allowed ratio that is used; the rest covers estimates of calls below. */
+    private static final double RATIO_PART = 0.75;
 
     private static final class Account {
         private double mTokens;
@@ -27,6 +30,7 @@
     private final TimeSource mTime;
     private final double mRatio;
     private final double mConstant;
+    private final double mHeld;
     private final Duration mWindow;
     private final Map<String, Account> mAccounts = new HashMap<>();
     private int mNodes = 1;
@@ -43,6 +47,7 @@
         mTime = Objects.requireNonNull(time, "time");
         mRatio = ratio * RATIO_PART;
         mConstant = constant * ACCRUED_PART;
+        mHeld = constant * HELD_PART;
         mWindow = window;
     }
 
@@ -70,11 +75,12 @@
      *
      * @param service service that it goes to
      * @param cost requests that it causes at services, itself included
+     * @param reserve part of the budget that must remain, for more important work
      * @return whether it may be sent
      */
-    public boolean tryRetry(String service, double cost) {
+    public boolean tryRetry(String service, double cost, double reserve) {
         Account a = account(service);
-        if (a.mTokens < cost) {
+        if (a.mTokens < cost + reserve * most()) {
             return false;
         }
         a.mTokens -= cost;
@@ -106,6 +112,6 @@
     }
 
     private double most() {
-        return Math.max(1, mConstant / mNodes);
+        return Math.max(1, mHeld / mNodes);
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -23,6 +23,7 @@
 import io.azurestage.relay.fleet.Announcer;
 import io.azurestage.relay.fleet.ConfigFeed;
 import io.azurestage.relay.fleet.FleetDirectory;
+import io.azurestage.relay.fleet.LeaveRecords;
 import io.azurestage.relay.fleet.PrefixFeed;
 import io.azurestage.relay.http.HttpListener;
 import io.azurestage.relay.link.LinkClient;
@@ -44,7 +45,7 @@
  *
  * <pre>{@code
  * Relay relay = Relay.start(settings, port, group, events, TimeSource.system());
- * relay.heard(heartbeat); // on the event loop
+ * relay.heard(heartbeat, acknowledge); // on the event loop
  * relay.stop(() -> exit());
  * }</pre>
  */
@@ -80,9 +81,13 @@
     private final PrefixFeed mEntryKeys;
     private final LinkServer mLinks;
     private final RetryBudget mBudget;
+    private final LeaveRecords mLeaves;
     private RequestLimits mLimits = RequestLimits.defaults();
     private HttpListener mListener;
+    private Heartbeat mEarly;
+    private boolean mLeavesKnown;
     private boolean mStopping;
+    private boolean mClosed;
     private Runnable mStopped;
     private long mStopStarted;
 
@@ -106,7 +111,16 @@
         SplittableRandom random = new SplittableRandom(mIdentity.incarnation());
         CallAttribution calls = new CallAttribution(time, random.split());
         ChainLevels levels = new ChainLevels(time);
-        mOwner = new Owner(loop, time, mTracker, port.names(), calls, levels, events);
+        mOwner =
+                new Owner(
+                        loop,
+                        time,
+                        mTracker,
+                        port.names(),
+                        calls,
+                        levels,
+                        events,
+                        this::nodesByService);
         mBudget =
                 new RetryBudget(
                         time,
@@ -145,13 +159,14 @@
                 new Entry(
                         loop,
                         time,
-                        new EntrySettings(port.names(), settings.service(), this::isServer),
+                        new EntrySettings(port.names(), settings.service()),
                         mDirectory,
                         levels,
                         calls,
                         mBudget,
                         events,
                         mOwner::learnBelow);
+        mLeaves = new LeaveRecords(loop, port.store(), events);
         mLinks = new LinkServer(time, self, mOwner);
         mConfigKeys = new PrefixFeed(loop, port.store(), port.configPrefix(), mConfig, events);
         mEntryKeys = new PrefixFeed(loop, port.store(), ENTRY_PREFIX, mDirectory, events);
@@ -191,6 +206,7 @@
                         "service", mSettings.service(),
                         "incarnation", Long.toString(mIdentity.incarnation()),
                         "link", hostPort(mSettings.linkAddress())));
+        mLeaves.load(mTracker::left, this::leavesKnown);
         mConfigKeys.start();
         mEntryKeys.start();
         mLoop.scheduleAtFixedRate(
@@ -215,11 +231,35 @@
      * Takes a heartbeat of the backend server on this VM. Call it on the event loop.
      *
      * @param h the heartbeat
+     * @param acknowledge tells the server that its report is known
      */
-    public void heard(Heartbeat h) {
+    public void heard(Heartbeat h, Runnable acknowledge) {
+        if (!mLeavesKnown) {
+            // Reports are taken once it is known which servers have left.
+            mEarly = h;
+            acknowledge.run();
+            return;
+        }
+        boolean wasReady = isServerReady();
         if (mTracker.heard(h)) {
             serverChanged();
         }
+        if (wasReady && h.draining()) {
+            mLeaves.write(h.serverId(), h.startedAtMillis(), acknowledge);
+        } else {
+            acknowledge.run();
+        }
+    }
+
+    private boolean isServerReady() {
+        return mTracker.server().filter(s -> s.state() == BackendState.READY).isPresent();
+    }
+
+    private void leavesKnown() {
+        mLeavesKnown = true;
+        if (mEarly != null) {
+            heard(mEarly, () -> {});
+        }
     }
 
     /**
@@ -227,11 +267,21 @@
      *
      * @param serverId id of the server
      * @param startedAtMillis its incarnation, 0 if the report does not name it
+     * @param acknowledge tells the server that its report is known
      */
-    public void left(String serverId, long startedAtMillis) {
+    public void left(String serverId, long startedAtMillis, Runnable acknowledge) {
         if (mTracker.left(serverId, startedAtMillis)) {
             serverChanged();
         }
+        long started =
+                mTracker.server()
+                        .filter(s -> s.serverId().equals(serverId))
+                        .map(BackendServer::startedAtMillis)
+                        .orElse(
+                                startedAtMillis == 0
+                                        ? mTime.now().toEpochMilli()
+                                        : startedAtMillis);
+        mLeaves.write(serverId, started, acknowledge);
     }
 
     /**
@@ -280,6 +330,12 @@
         if (since < most && (since < least || !idle)) {
             return;
         }
+        if (!mClosed) {
+            // A request that arrives from now on is not read, so its caller may send it again.
+            mClosed = true;
+            mListener.close();
+            return;
+        }
         mEvents.record(
                 EventType.NODE_STOPPED,
                 Map.of(
@@ -328,8 +384,8 @@
         mEntry.configure(config);
     }
 
-    private boolean isServer(InetSocketAddress remote) {
-        return remote.getAddress().getHostAddress().equals(mSettings.serverHost());
+    private Map<String, Integer> nodesByService() {
+        return mDirectory.nodesByService();
     }
 
     private LinkState linkState() {
--- a/relay/src/main/java/io/azurestage/relay/RelaySettings.java
+++ b/relay/src/main/java/io/azurestage/relay/RelaySettings.java
@@ -13,7 +13,6 @@
  * @param service service of the backend server on this VM
  * @param entryAddress where callers on this VM send their requests
  * @param linkAddress where other nodes connect
- * @param serverHost host of the backend server; its connections to the entry come from its calls
  * @param metricsAddress where metrics are served, or empty
  * @param heartbeat time between two heartbeats of a backend server
  * @param drain how long a leaving server takes work after its report was acknowledged
@@ -29,7 +28,6 @@
         String service,
         InetSocketAddress entryAddress,
         InetSocketAddress linkAddress,
-        String serverHost,
         Optional<InetSocketAddress> metricsAddress,
         Duration heartbeat,
         Duration drain,
--- a/relay/src/main/java/io/azurestage/relay/call/LoadReport.java
+++ b/relay/src/main/java/io/azurestage/relay/call/LoadReport.java
@@ -9,10 +9,12 @@
  * @param load requests running and waiting over the slots, negative if unknown
  * @param levels admitted fractions by service and class
  * @param calls calls that one request of this operation makes on average, directly or below
+ * @param calledByServers whether servers call this operation, rather than clients
  */
-public record LoadReport(double load, List<ServiceLevel> levels, double calls) {
+public record LoadReport(
+        double load, List<ServiceLevel> levels, double calls, boolean calledByServers) {
     /** Says nothing. */
-    public static final LoadReport NONE = new LoadReport(-1, List.of(), 0);
+    public static final LoadReport NONE = new LoadReport(-1, List.of(), 0, false);
 
     /** Copies the levels. */
     public LoadReport {
--- a/relay/src/main/java/io/azurestage/relay/entry/Entry.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/Entry.java
@@ -24,10 +24,12 @@
 import io.azurestage.relay.owner.Owner;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
@@ -57,6 +59,7 @@
     private final EventLog mEvents;
     private final BiConsumer<ChainKey, Double> mBelow;
     private final SplitChooser mSplit = new SplitChooser();
+    private final Set<String> mCalledByServers = new HashSet<>();
     private RouteTable mRoutes;
     private int mOpen;
 
@@ -102,6 +105,9 @@
     public void configure(TrafficConfig config) {
         mRoutes = new RouteTable(config.routes());
         mSplit.retain(config.routes());
+        Set<String> names = new HashSet<>();
+        config.routes().forEach(r -> names.add(r.name()));
+        mCalledByServers.retainAll(names);
     }
 
     /**
@@ -131,7 +137,7 @@
         long now = mTime.nanos();
         String service = mSplit.next(route);
         String id = Fields.first(request.fields(), mSettings.names().requestId()).orElse("");
-        boolean call = mSettings.isServer().test(request.remote());
+        boolean call = mCalledByServers.contains(route.name());
         Optional<CallSource> parent = call ? mCalls.attribute(route.name()) : Optional.empty();
         WorkClass workClass =
                 parent.map(p -> p.chain().workClass()).orElseGet(() -> workClass(route));
@@ -218,7 +224,12 @@
 
     void learn(ChainKey chain, Optional<CallSource> parent, LoadReport load) {
         mLevels.learn(chain, load.levels());
-        if (parent.isPresent()) {
+        if (load.calledByServers()) {
+            mCalledByServers.add(chain.operation());
+        } else if (!load.levels().isEmpty()) {
+            mCalledByServers.remove(chain.operation());
+        }
+        if (parent.isPresent() && mCalls.makesCalls(parent.get().chain(), chain.operation())) {
             mLevels.learn(parent.get().chain(), load.levels());
             mBelow.accept(parent.get().chain(), load.calls());
         }
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
@@ -28,7 +28,10 @@
 /** One request of a caller: its attempts one after the other, and its answer. */
 final class EntryCall {
     /** Nodes that are asked in turn for a request that none of them has run. */
-    private static final int MAX_PLACES = 3;
+    private static final int MAX_PLACES = 4;
+
+    /** Part of the retry budget that is kept for more important work, by class. */
+    private static final double[] RESERVES = {0, 0.1, 0.5};
 
     private static final Duration COME_BACK = Duration.ofSeconds(1);
 
@@ -48,7 +51,7 @@
     private ScheduledFuture<?> mTimer;
     private long mAttemptAt;
     private int mPlaces;
-    private int mServersReached;
+    private int mRuns;
     private boolean mMayHaveRun;
     private boolean mDone;
 
@@ -120,13 +123,13 @@
             }
             return;
         }
-        mServersReached++;
-        mMayHaveRun |= result instanceof CallResult.MaybeRun;
+        if (result instanceof CallResult.MaybeRun) {
+            mMayHaveRun = true;
+            mRuns++;
+        }
         boolean mayRepeat = mRoute.idempotent() || !mMayHaveRun;
-        if (mayRepeat
-                && mServersReached < mRoute.maxAttempts()
-                && isTimeLeft()
-                && takeRetry(load)) {
+        boolean attemptsLeft = mRuns < mRoute.maxAttempts() && mPlaces < MAX_PLACES;
+        if (mayRepeat && attemptsLeft && isTimeLeft() && takeRetry(load)) {
             record(EventType.RETRY_STARTED, Map.of("after", describe(result)));
             mSpec = mSpec.repeated();
             place(result);
@@ -136,7 +139,8 @@
     }
 
     private boolean takeRetry(LoadReport load) {
-        return mEntry.budget().tryRetry(mSpec.service(), 1 + load.calls());
+        double reserve = RESERVES[mSpec.workClass().ordinal()];
+        return mEntry.budget().tryRetry(mSpec.service(), 1 + load.calls(), reserve);
     }
 
     private boolean isTimeLeft() {
--- a/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
@@ -36,6 +36,7 @@
     private final Runnable mOwnMissing;
     private final EventLog mEvents;
     private final Map<String, LinkClient> mLinks = new HashMap<>();
+    private Map<String, Integer> mNodesByService = Map.of();
 
     /**
      * Creates an empty directory.
@@ -129,6 +130,15 @@
         return mTable.entries().size();
     }
 
+    /**
+     * Returns how many nodes stand beside a server of each service.
+     *
+     * @return an immutable map
+     */
+    public Map<String, Integer> nodesByService() {
+        return mNodesByService;
+    }
+
     private boolean answers(ServerEntry e) {
         if (e.linkAddress().equals(mOwnLink)) {
             return true;
@@ -150,6 +160,9 @@
 
     private void update() {
         List<ServerEntry> entries = mTable.entries();
+        Map<String, Integer> nodes = new HashMap<>();
+        entries.forEach(e -> nodes.merge(e.server().service(), 1, Integer::sum));
+        mNodesByService = Map.copyOf(nodes);
         mRouter.update(
                 entries.stream()
                         .filter(e -> e.server().state() != BackendState.GONE)
--- a/relay/src/main/java/io/azurestage/relay/http/HttpListener.java
+++ b/relay/src/main/java/io/azurestage/relay/http/HttpListener.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
 
@@ -92,8 +93,9 @@
         mConnections.forEach(InboundConnection::drain);
     }
 
-    /** Closes the port and leaves open connections alone. */
+    /** Closes the port and the connections without a request. Call it on the event loop. */
     public void close() {
         mChannel.close();
+        List.copyOf(mConnections).forEach(InboundConnection::closeIfIdle);
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/http/InboundConnection.java
+++ b/relay/src/main/java/io/azurestage/relay/http/InboundConnection.java
@@ -104,6 +104,13 @@
         mDraining = true;
     }
 
+    void closeIfIdle() {
+        if (mCurrent == null && mHead == null) {
+            mClosing = true;
+            mContext.close();
+        }
+    }
+
     private void accept(Object message) {
         try {
             if (message instanceof HttpRequest r) {
--- a/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
@@ -45,6 +45,12 @@
     /** A link without calls only has to carry the configuration's version now and then. */
     private static final long IDLE_PROBE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    /** How long a call waits for a connection until it is placed at another node. */
+    private static final long UNSENT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    /** How long the other node may take for its first message on a new connection. */
+    private static final long HELLO_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
     /** How long calls wait for a new connection to the node. */
     private static final long RESUME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
@@ -93,7 +99,7 @@
 
     @Override
     public CallHandle start(CallSpec spec, CallListener listener) {
-        Outgoing call = new Outgoing(mNextCall++, spec, listener);
+        Outgoing call = new Outgoing(mNextCall++, spec, listener, mTime.nanos());
         mCalls.put(call.id(), call);
         if (isUp()) {
             send(call);
@@ -158,8 +164,12 @@
     /** Probes a silent link and gives up calls that cannot be resumed. Call it every 100 ms. */
     public void tick() {
         long now = mTime.nanos();
+        failOverdue(now);
         if (isUp()) {
             probe(now);
+        } else if (mChannel != null && now - mHeard > HELLO_NANOS) {
+            mChannel.close();
+            down("no first message of the node");
         } else if (!mCalls.isEmpty() && mLost != 0 && now - mLost > RESUME_NANOS) {
             failAll("the connection to the node was lost");
         }
@@ -174,6 +184,14 @@
         }
     }
 
+    private void failOverdue(long now) {
+        List<Outgoing> overdue =
+                mUnsent.stream().filter(c -> now - c.startedNanos() > UNSENT_NANOS).toList();
+        mUnsent.removeAll(overdue);
+        String reason = "no connection to the node in time";
+        overdue.forEach(c -> finish(c, new CallResult.NotRun(reason, Duration.ZERO, true)));
+    }
+
     private void probe(long now) {
         long silent = now - mHeard;
         long patience = mCalls.isEmpty() ? IDLE_PROBE_NANOS : PROBE_NANOS;
--- a/relay/src/main/java/io/azurestage/relay/link/Messages.java
+++ b/relay/src/main/java/io/azurestage/relay/link/Messages.java
@@ -129,11 +129,15 @@
             levels.add(
                     new ServiceLevel(l.getService(), workClass(l.getWorkClass()), l.getFraction()));
         }
-        return new LoadReport(m.getLoad(), levels, m.getCalls());
+        return new LoadReport(m.getLoad(), levels, m.getCalls(), m.getCalledByServers());
     }
 
     private static ServerLoad load(LoadReport r) {
-        ServerLoad.Builder b = ServerLoad.newBuilder().setLoad(r.load()).setCalls(r.calls());
+        ServerLoad.Builder b =
+                ServerLoad.newBuilder()
+                        .setLoad(r.load())
+                        .setCalls(r.calls())
+                        .setCalledByServers(r.calledByServers());
         for (ServiceLevel l : r.levels()) {
             b.addLevels(
                     AdmittedLevel.newBuilder()
--- a/relay/src/main/java/io/azurestage/relay/link/Outgoing.java
+++ b/relay/src/main/java/io/azurestage/relay/link/Outgoing.java
@@ -13,15 +13,17 @@
     private final long mId;
     private final CallSpec mSpec;
     private final CallListener mListener;
+    private final long mStarted;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private LoadReport mLoad = LoadReport.NONE;
     private CallAnswer mAnswer;
     private boolean mSent;
 
-    Outgoing(long id, CallSpec spec, CallListener listener) {
+    Outgoing(long id, CallSpec spec, CallListener listener, long nowNanos) {
         mId = id;
         mSpec = spec;
         mListener = listener;
+        mStarted = nowNanos;
     }
 
     long id() {
@@ -32,6 +34,10 @@
         return mSpec;
     }
 
+    long startedNanos() {
+        return mStarted;
+    }
+
     boolean isSent() {
         return mSent;
     }
--- a/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
@@ -68,6 +68,7 @@
                         mSpec.deadlineNanos(),
                         mSpec.fraction(),
                         mSpec.repeat(),
+                        mSpec.operation(),
                         mSpec.inProgress(),
                         this);
         mAdmission.offer(mWork);
--- a/relay/src/main/java/io/azurestage/relay/owner/Owner.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/Owner.java
@@ -9,6 +9,7 @@
 import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.backend.BackendTracker;
 import io.azurestage.core.calls.CallAttribution;
+import io.azurestage.core.calls.CallerShares;
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
 import io.azurestage.core.time.TimeSource;
@@ -28,6 +29,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
  * The backend server beside this node: its admission, its connections and the requests that it
@@ -59,6 +61,8 @@
     private final CallAttribution mCalls;
     private final ChainLevels mLevels;
     private final EventLog mEvents;
+    private final Supplier<Map<String, Integer>> mNodesByService;
+    private final CallerShares mCallers = new CallerShares();
     private final Map<ChainKey, Double> mBelow = new HashMap<>();
     private BackendServer mServer;
     private AdmissionController mAdmission;
@@ -75,6 +79,7 @@
      * @param calls attributes the server's calls to the requests that it runs
      * @param levels admitted fractions of the services below
      * @param events log of events
+     * @param nodesByService number of known nodes by service
      */
     public Owner(
             EventLoop loop,
@@ -83,7 +88,8 @@
             HeaderNames names,
             CallAttribution calls,
             ChainLevels levels,
-            EventLog events) {
+            EventLog events,
+            Supplier<Map<String, Integer>> nodesByService) {
         mLoop = loop;
         mTime = time;
         mTracker = tracker;
@@ -91,6 +97,7 @@
         mCalls = calls;
         mLevels = levels;
         mEvents = events;
+        mNodesByService = nodesByService;
     }
 
     /** Takes over the server that the tracker shows, after it has changed. */
@@ -147,6 +154,7 @@
             listener.done(new CallResult.NotRun(unfit.get(), COME_BACK, true), LoadReport.NONE);
             return () -> {};
         }
+        mCallers.count(spec.operation(), spec.callerService());
         OwnedCall call = new OwnedCall(this, mServer, mAdmission, mPool, spec, listener);
         call.offer();
         return call::cancel;
@@ -180,7 +188,8 @@
                     .forEach((service, f) -> levels.add(new ServiceLevel(service, c, f)));
         }
         double below = mCalls.callsPerRequest(key) * (1 + mBelow.getOrDefault(key, 0.0));
-        return new LoadReport(admission.load(), levels, below);
+        boolean byServers = mCallers.isCalledByServers(spec.operation(), mNodesByService.get());
+        return new LoadReport(admission.load(), levels, below, byServers);
     }
 
     /**
