Number calls over all links of a process, so that a reopened link is not ignored

The new link numbered its calls from 1 again, and the other node ignored all numbers up to the highest that it had seen, so calls waited for their deadline.

--- a/core/src/main/java/io/azurestage/core/event/EventType.java
+++ b/core/src/main/java/io/azurestage/core/event/EventType.java
@@ -44,6 +44,7 @@
     MEMBER_LEFT(503, Severity.INFO, "a member left"),
     MEMBER_REFUTED(504, Severity.INFO, "this node refuted a suspicion"),
     NODE_ISOLATED(505, Severity.WARNING, "most probes of this node fail"),
+    NODE_SUPERSEDED(506, Severity.ERROR, "another process runs under this node id"),
     LINK_UP(507, Severity.INFO, "a connection to another node works"),
     LINK_DOWN(508, Severity.WARNING, "a connection to another node was lost"),
     ENTRY_LAPSED(509, Severity.WARNING, "this node's entry was no longer in the store"),
@@ -52,7 +53,6 @@
     HEARTBEAT_REFUSED(512, Severity.WARNING, "a heartbeat cannot be read and is not used"),
     LEAVE_NOT_RECORDED(
             513, Severity.WARNING, "the store does not hold that a backend server leaves"),
-    NODE_SUPERSEDED(506, Severity.ERROR, "another process runs under this node id"),
 
     CONFIG_ADOPTED(600, Severity.INFO, "a configuration version is in force"),
     CONFIG_REFUSED(601, Severity.ERROR, "a configuration was refused"),
--- /dev/null
+++ b/core/src/test/java/io/azurestage/core/calls/CallAttributionTest.java
@@ -0,0 +1,141 @@
+package io.azurestage.core.calls;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.config.WorkClass;
+import io.azurestage.core.admission.ChainKey;
+import io.azurestage.core.time.ManualTimeSource;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CallAttributionTest {
+
+    /**
+     * Load pattern of a ledger service: exports that make no calls, 30 a second of 150 ms, run
+     * beside index lookups, 100 a second, that make four calls of 20 ms one after the other.
+     */
+    @Nested
+    class SharedServer {
+        private final ManualTimeSource mTime = new ManualTimeSource();
+        private final CallAttribution mCalls = new CallAttribution(mTime, new SplittableRandom(1));
+        private final ChainKey mExport = key("export", WorkClass.BROWSING);
+        private final ChainKey mIndex = key("index", WorkClass.BROWSING);
+        private final ChainKey mUrgentIndex = key("index", WorkClass.CRITICAL);
+        private int mUrgent;
+        private int mAttributed;
+
+        private record Step(long atNanos, Runnable action) {}
+
+        private static ChainKey key(String operation, WorkClass c) {
+            return new ChainKey("ledger", operation, "p", c);
+        }
+
+        private void play(int seconds) {
+            Random random = new Random(5);
+            PriorityQueue<Step> steps =
+                    new PriorityQueue<>(Comparator.comparingLong(Step::atNanos));
+            for (int i = 0; i < 30 * seconds; i++) {
+                run(steps, random, new CallSource(mExport, 1, false), seconds, 0, 150);
+            }
+            for (int i = 0; i < 100 * seconds; i++) {
+                ChainKey k = random.nextInt(10) < 3 ? mUrgentIndex : mIndex;
+                run(steps, random, new CallSource(k, 1, false), seconds, 4, 20);
+            }
+            long now = 0;
+            while (!steps.isEmpty()) {
+                Step s = steps.poll();
+                mTime.advance(Duration.ofNanos(s.atNanos - now));
+                now = s.atNanos;
+                s.action.run();
+            }
+        }
+
+        private void run(
+                PriorityQueue<Step> steps,
+                Random random,
+                CallSource source,
+                int seconds,
+                int calls,
+                int millis) {
+            long at = (long) (random.nextDouble() * seconds * 1e9);
+            steps.add(new Step(at, () -> mCalls.started(source)));
+            for (int k = 0; k < calls; k++) {
+                at += (long) (-Math.log(1 - random.nextDouble()) * millis * 1e6);
+                steps.add(new Step(at, this::attribute));
+            }
+            at += (long) (millis * 1e6);
+            steps.add(new Step(at, () -> mCalls.ended(source)));
+        }
+
+        private void attribute() {
+            mCalls.attribute("status")
+                    .ifPresent(
+                            s -> {
+                                mAttributed++;
+                                if (s.chain().workClass() == WorkClass.CRITICAL) {
+                                    mUrgent++;
+                                }
+                            });
+        }
+
+        @Test
+        void findsWhichOperationMakesTheCallsWithinFiveSeconds() {
+            play(5);
+            assertThat(mCalls.makesCalls(mIndex, "status")).isTrue();
+            assertThat(mCalls.makesCalls(mExport, "status")).isFalse();
+            assertThat(mCalls.callsPerRequest(mIndex)).isBetween(3.0, 5.0);
+        }
+
+        @Test
+        void classesOfTheCallsComeInTheRightProportion() {
+            play(10);
+            assertThat(mUrgent / (double) mAttributed).isBetween(0.2, 0.4);
+        }
+    }
+
+    @Test
+    void callWithoutARunningRequestHasNoParent() {
+        CallAttribution calls =
+                new CallAttribution(new ManualTimeSource(), new SplittableRandom(1));
+        assertThat(calls.attribute("status")).isEmpty();
+    }
+
+    @Nested
+    class Callers {
+        private final Map<String, Integer> mNodes =
+                Map.of("books", 4, "desk", 4, "ledger", 4, "stable", 4);
+        private final CallerShares mShares = new CallerShares();
+
+        @Test
+        void operationThatOneServiceSendsIsCalledByServers() {
+            for (int i = 0; i < 60; i++) {
+                mShares.count("status", "ledger");
+            }
+            assertThat(mShares.isCalledByServers("status", mNodes)).isTrue();
+        }
+
+        @Test
+        void operationThatAllNodesSendIsUsedByClients() {
+            Random random = new Random(3);
+            String[] services = {"books", "desk", "ledger", "stable"};
+            for (int i = 0; i < 500; i++) {
+                mShares.count("check", services[random.nextInt(4)]);
+                assertThat(mShares.isCalledByServers("check", mNodes)).isFalse();
+            }
+        }
+
+        @Test
+        void fewRequestsDecideNothing() {
+            for (int i = 0; i < 10; i++) {
+                mShares.count("status", "ledger");
+            }
+            assertThat(mShares.isCalledByServers("status", mNodes)).isFalse();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/azurestage/core/retry/RetryBudgetTest.java
@@ -0,0 +1,80 @@
+package io.azurestage.core.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.core.time.ManualTimeSource;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+    private static final double RATIO = 0.2;
+    private static final double CONSTANT = 48;
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+
+    @Property(tries = 60, seed = "11")
+    void sumOfAllNodesStaysWithinTheBoundInEveryWindow(
+            @ForAll @IntRange(min = 2, max = 40) int nodes, @ForAll long seed) {
+        ManualTimeSource time = new ManualTimeSource();
+        Random random = new Random(seed);
+        List<RetryBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            budgets.add(started(time, nodes));
+        }
+        int steps = 400;
+        int window = 100;
+        int[] requests = new int[steps];
+        int[] retries = new int[steps];
+        for (int t = 0; t < steps; t++) {
+            int load = random.nextInt(60);
+            for (int i = 0; i < load; i++) {
+                RetryBudget b = budgets.get(random.nextInt(nodes));
+                b.requested("s");
+                requests[t]++;
+                retries[t] += b.tryRetry("s", 1, 0) ? 1 : 0;
+                retries[t] += b.tryRetry("s", 1, 0) ? 1 : 0;
+            }
+            if (random.nextInt(50) == 0) {
+                budgets.set(random.nextInt(nodes), started(time, nodes));
+            }
+            time.advance(WINDOW.dividedBy(window));
+        }
+        for (int from = 0; from + window <= steps; from++) {
+            int asked = 0;
+            int again = 0;
+            for (int t = from; t < from + window; t++) {
+                asked += requests[t];
+                again += retries[t];
+            }
+            assertThat((double) again).isLessThanOrEqualTo(RATIO * asked + CONSTANT);
+        }
+    }
+
+    @Test
+    void restartedNodeHasNoRetriesLeft() {
+        assertThat(started(new ManualTimeSource(), 4).tryRetry("s", 1, 0)).isFalse();
+    }
+
+    @Test
+    void lessImportantWorkLeavesAReserve() {
+        ManualTimeSource time = new ManualTimeSource();
+        RetryBudget b = started(time, 4);
+        b.left("s");
+        time.advance(WINDOW.multipliedBy(10));
+        while (b.tryRetry("s", 1, 0.5)) {
+            assertThat(b.left("s")).isPositive();
+        }
+        assertThat(b.tryRetry("s", 1, 0)).isTrue();
+    }
+
+    private static RetryBudget started(ManualTimeSource time, int nodes) {
+        RetryBudget b = new RetryBudget(time, RATIO, CONSTANT, WINDOW);
+        b.share(nodes);
+        return b;
+    }
+}
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -38,6 +38,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * A node on a platform: entry for the callers on its VM, owner of the backend server beside it, and
@@ -134,6 +135,7 @@
         LinkSelf self =
                 new LinkSelf(
                         mIdentity,
+                        new AtomicLong()::incrementAndGet,
                         mConfig::version,
                         mConfig::document,
                         d -> mConfig.offer(d, "node"));
--- a/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
@@ -68,7 +68,6 @@
     private boolean mConnecting;
     private boolean mUp;
     private boolean mClosed;
-    private long mNextCall = 1;
     private long mIncarnation;
     private long mHeard;
     private long mProbed;
@@ -99,7 +98,7 @@
 
     @Override
     public CallHandle start(CallSpec spec, CallListener listener) {
-        Outgoing call = new Outgoing(mNextCall++, spec, listener, mTime.nanos());
+        Outgoing call = new Outgoing(mSelf.callIds().getAsLong(), spec, listener, mTime.nanos());
         mCalls.put(call.id(), call);
         if (isUp()) {
             send(call);
--- a/relay/src/main/java/io/azurestage/relay/link/LinkSelf.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkSelf.java
@@ -11,12 +11,15 @@
  * What a node tells and gives to the nodes it is linked with.
  *
  * @param identity this node
+ * @param callIds numbers the calls of this process over all its links: the other end takes a number
+ *     that it has seen before for a repetition, also when a link was closed and opened anew
  * @param configVersion version of the configuration in force, 0 if none
  * @param document the configuration in force, for nodes that lack it
  * @param sink takes documents of other nodes
  */
 public record LinkSelf(
         NodeIdentity identity,
+        LongSupplier callIds,
         LongSupplier configVersion,
         Supplier<Optional<byte[]>> document,
         DocumentSink sink) {
--- /dev/null
+++ b/relay/src/test/java/io/azurestage/relay/Loop.java
@@ -0,0 +1,60 @@
+package io.azurestage.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/** An event loop for tests. */
+public final class Loop implements AutoCloseable {
+    private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(20);
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
+
+    private final MultiThreadIoEventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    public MultiThreadIoEventLoopGroup group() {
+        return mGroup;
+    }
+
+    public EventLoop loop() {
+        return (EventLoop) mGroup.next();
+    }
+
+    /** Runs a task on the loop and returns its result. */
+    public <T> T call(Callable<T> task) throws Exception {
+        return loop().submit(task).get(PATIENCE_NANOS, TimeUnit.NANOSECONDS);
+    }
+
+    public void run(Runnable task) throws Exception {
+        call(
+                () -> {
+                    task.run();
+                    return null;
+                });
+    }
+
+    public static <T> T get(CompletableFuture<T> future) throws Exception {
+        return future.get(PATIENCE_NANOS, TimeUnit.NANOSECONDS);
+    }
+
+    /** Waits until a condition holds. */
+    public static void await(String what, BooleanSupplier condition) {
+        long end = System.nanoTime() + PATIENCE_NANOS;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError("still not so: " + what);
+            }
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+    }
+
+    @Override
+    public void close() {
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
