Test the node on a platform end to end, and keep chains' queues short

Adds tests of the relay over loopback: what passes unchanged, what lost, late, truncated and unsigned answers become, draining, restart of the node beside a leaving server, lapsed entries, order of configurations.

--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -26,10 +26,16 @@
  */
 public final class AdmissionController {
     /**
-     * Wait that callers of deep chains can bear at one service: a chain makes about five calls one
-     * after the other, and its callers aim for more than a second.
+     * Wait at one service that callers of deep chains can bear: a chain makes some five calls one
+     * after the other, and its timeout may be only 800 ms.
      */
-    private static final Duration DEEP_TARGET = Duration.ofMillis(120);
+    private static final Duration DEEP_TARGET = Duration.ofMillis(40);
+
+    /** A chain waits at the service that answers it for about one usual answer at most. */
+    private static final double DEEP_TARGET_SERVICE_TIMES = 1;
+
+    /** A deep chain's queue feeds those of all services above it, so it is drained faster. */
+    private static final Duration DEEP_HORIZON = Duration.ofMillis(300);
 
     private static final long WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -86,7 +92,7 @@
     public static AdmissionController withFixedLimit(int slots, TimeSource time) {
         Tuning t = Tuning.DEFAULT;
         Tuning fixed =
-                new Tuning(false, t.order(), DEEP_TARGET, t.targetServiceTimes(), t.horizon());
+                new Tuning(false, t.order(), DEEP_TARGET, DEEP_TARGET_SERVICE_TIMES, DEEP_HORIZON);
         return new AdmissionController(slots, time, (lender, borrower, c, lent) -> {}, fixed);
     }
 
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -295,6 +295,15 @@
         return !mStopping && mConfig.version() > 0 && mDirectory.nodes() > 0;
     }
 
+    /**
+     * Returns the version of the configuration in force.
+     *
+     * @return the version, 0 if none is known
+     */
+    public long configVersion() {
+        return mConfig.version();
+    }
+
     /**
      * Returns the limits for callers that are in force.
      *
--- /dev/null
+++ b/relay/src/test/java/io/azurestage/relay/MapStore.java
@@ -0,0 +1,126 @@
+package io.azurestage.relay;
+
+import io.azurestage.store.LeaseResult;
+import io.azurestage.store.PlatformStore;
+import io.azurestage.store.ReadResult;
+import io.azurestage.store.Versioned;
+import io.azurestage.store.WatchEvent;
+import io.azurestage.store.WriteResult;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/** A store in memory whose leases last until they are dropped. */
+public final class MapStore implements PlatformStore {
+    private record Watch(String prefix, Consumer<WatchEvent> listener) {}
+
+    private final TreeMap<String, Versioned> mValues = new TreeMap<>();
+    private final Map<String, Long> mLeaseOf = new HashMap<>();
+    private final List<Watch> mWatches = new ArrayList<>();
+    private long mRevision = 1;
+    private long mLeases;
+    private boolean mDown;
+
+    public synchronized void put(String key, byte[] value) {
+        Versioned v = new Versioned(key, value, ++mRevision);
+        mValues.put(key, v);
+        tell(key, new WatchEvent.Put(v));
+    }
+
+    /** Ends all leases, as an outage of the store does. */
+    public synchronized void lapse() {
+        for (String key : List.copyOf(mLeaseOf.keySet())) {
+            mValues.remove(key);
+            tell(key, new WatchEvent.Removed(key, ++mRevision));
+        }
+        mLeaseOf.clear();
+    }
+
+    /** Answers nothing any more, or answers again. */
+    public synchronized void setDown(boolean down) {
+        mDown = down;
+        if (down) {
+            List<Watch> watches = List.copyOf(mWatches);
+            mWatches.clear();
+            watches.forEach(w -> w.listener.accept(new WatchEvent.Broken("down")));
+        }
+    }
+
+    public synchronized boolean has(String key) {
+        return mValues.containsKey(key);
+    }
+
+    public synchronized List<String> keys(String prefix) {
+        return mValues.keySet().stream().filter(k -> k.startsWith(prefix)).toList();
+    }
+
+    @Override
+    public synchronized CompletableFuture<ReadResult> get(String key, boolean prefix) {
+        if (mDown) {
+            return CompletableFuture.completedFuture(new ReadResult.Unavailable("down"));
+        }
+        List<Versioned> found =
+                mValues.values().stream()
+                        .filter(v -> prefix ? v.key().startsWith(key) : v.key().equals(key))
+                        .toList();
+        return CompletableFuture.completedFuture(new ReadResult.Found(found, mRevision));
+    }
+
+    @Override
+    public synchronized CompletableFuture<WriteResult> compareAndSwap(
+            String key, long expectedRevision, byte[] value, long lease) {
+        if (mDown) {
+            return CompletableFuture.completedFuture(new WriteResult.Unavailable("down"));
+        }
+        Versioned old = mValues.get(key);
+        if ((old == null ? ABSENT : old.revision()) != expectedRevision) {
+            return CompletableFuture.completedFuture(new WriteResult.Conflict());
+        }
+        put(key, value);
+        mLeaseOf.put(key, lease);
+        return CompletableFuture.completedFuture(new WriteResult.Applied(mRevision));
+    }
+
+    @Override
+    public synchronized CompletableFuture<LeaseResult> grantLease(Duration timeToLive) {
+        return CompletableFuture.completedFuture(
+                mDown
+                        ? new LeaseResult.Unavailable("down")
+                        : new LeaseResult.Held(++mLeases, timeToLive));
+    }
+
+    @Override
+    public synchronized CompletableFuture<LeaseResult> keepAlive(long lease) {
+        return CompletableFuture.completedFuture(
+                mDown
+                        ? new LeaseResult.Unavailable("down")
+                        : new LeaseResult.Held(lease, Duration.ofSeconds(6)));
+    }
+
+    @Override
+    public synchronized AutoCloseable watch(
+            String key, boolean prefix, long fromRevision, Consumer<WatchEvent> listener) {
+        Watch w = new Watch(key, listener);
+        mWatches.add(w);
+        mValues.values().stream()
+                .filter(v -> v.key().startsWith(key) && v.revision() >= fromRevision)
+                .forEach(v -> listener.accept(new WatchEvent.Put(v)));
+        return () -> remove(w);
+    }
+
+    private synchronized void remove(Watch w) {
+        mWatches.remove(w);
+    }
+
+    private void tell(String key, WatchEvent e) {
+        mWatches.stream().filter(w -> key.startsWith(w.prefix)).forEach(w -> w.listener.accept(e));
+    }
+
+    @Override
+    public void close() {}
+}
--- /dev/null
+++ b/relay/src/test/java/io/azurestage/relay/RelayTest.java
@@ -0,0 +1,383 @@
+package io.azurestage.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.core.backend.Heartbeat;
+import io.azurestage.core.event.EventLog;
+import io.azurestage.core.route.RequestLimits;
+import io.azurestage.core.route.Route;
+import io.azurestage.core.route.RouteTarget;
+import io.azurestage.core.route.TrafficConfig;
+import io.azurestage.core.time.HybridClock;
+import io.azurestage.core.time.TimeSource;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RelayTest {
+    private static final HeaderNames NAMES =
+            new HeaderNames("Id", "Left-Ms", "Server", "Not-Run", "Signed", "Caller");
+    private static final Duration ROUTE_TIMEOUT = Duration.ofMillis(600);
+
+    private final Loop mLoop = new Loop();
+    private final MapStore mStore = new MapStore();
+    private final List<AutoCloseable> mOpen = new ArrayList<>();
+    private final HttpClient mClient =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final List<Relay> mRelays = new ArrayList<>();
+    private long mSequence;
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable c : mOpen) {
+            c.close();
+        }
+        mLoop.close();
+    }
+
+    /** One route for idempotent requests and one for others, both to the service "books". */
+    private static TrafficConfig decode(byte[] document) {
+        List<RouteTarget> books = List.of(new RouteTarget("books", 1));
+        Duration aim = Duration.ofMillis(300);
+        return new TrafficConfig(
+                document[0],
+                List.of(
+                        new Route("read", "h", "/r/", true, 2, 2, ROUTE_TIMEOUT, aim, books),
+                        new Route("write", "h", "/w/", false, 0, 2, ROUTE_TIMEOUT, aim, books)),
+                RequestLimits.defaults());
+    }
+
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket s = new ServerSocket(0)) {
+            return new InetSocketAddress("127.0.0.1", s.getLocalPort());
+        }
+    }
+
+    private InetSocketAddress node(String id, String service) throws Exception {
+        InetSocketAddress entry = free();
+        RelaySettings settings =
+                new RelaySettings(
+                        id,
+                        "dc",
+                        "region",
+                        service,
+                        entry,
+                        free(),
+                        Optional.empty(),
+                        Duration.ofMillis(1_500),
+                        Duration.ofSeconds(2),
+                        Duration.ofSeconds(3),
+                        0.2,
+                        48,
+                        Duration.ofSeconds(10));
+        TimeSource time = TimeSource.system();
+        EventLog events = new EventLog(id, new HybridClock(time), 100, e -> {});
+        PlatformPort port = new PlatformPort(NAMES, mStore, "op/", "op/config", RelayTest::decode);
+        mRelays.add(Relay.start(settings, port, mLoop.group(), events, time));
+        return entry;
+    }
+
+    private void heartbeat(int relay, String service, RawServer server, boolean draining)
+            throws Exception {
+        Heartbeat h =
+                new Heartbeat(
+                        "server-" + relay,
+                        1 + relay,
+                        service,
+                        server.address(),
+                        10,
+                        draining,
+                        Duration.ZERO,
+                        ++mSequence);
+        mLoop.run(() -> mRelays.get(relay).heard(h, () -> {}));
+    }
+
+    /** Two nodes: callers use the first one, the server stands beside the second one. */
+    private InetSocketAddress scene(RawServer.Script script) throws Exception {
+        mStore.put("op/config", new byte[] {1});
+        InetSocketAddress entry = node("caller", "desk");
+        node("owner", "books");
+        RawServer server = new RawServer(script);
+        mOpen.add(server);
+        mServer = server;
+        Loop.await("leaving servers are known", () -> mStore.has("op/config"));
+        Loop.await(
+                "the entry of the server",
+                () -> {
+                    try {
+                        heartbeat(1, "books", server, false);
+                    } catch (Exception e) {
+                        throw new AssertionError(e);
+                    }
+                    return !mStore.keys("azurestage/nodes/").isEmpty();
+                });
+        Loop.await("the caller's node is ready", () -> mRelays.get(0).isReady());
+        return entry;
+    }
+
+    private RawServer mServer;
+
+    private HttpRequest.Builder request(InetSocketAddress entry, String target) {
+        // The client sets the Host header from the address, so the route is asked for by name.
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + entry.getPort() + target))
+                .header("Id", "request-1")
+                .header("Left-Ms", "5000")
+                .header("Caller", "forged")
+                .timeout(Duration.ofSeconds(10));
+    }
+
+    private HttpResponse<String> send(HttpRequest.Builder r) throws Exception {
+        return mClient.send(r.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private RawReply raw(InetSocketAddress entry, String method, String target, String body)
+            throws IOException {
+        try (Socket s = new Socket("127.0.0.1", entry.getPort())) {
+            s.setSoTimeout(10_000);
+            s.getOutputStream()
+                    .write(
+                            RawServer.text(
+                                    method
+                                            + " "
+                                            + target
+                                            + " HTTP/1.1\r\nHost: h\r\nId: request-1\r\n"
+                                            + "Left-Ms: 5000\r\nCaller: forged\r\n"
+                                            + "Connection: close\r\nContent-Length: "
+                                            + body.length()
+                                            + "\r\n\r\n"
+                                            + body));
+            String all = new String(s.getInputStream().readAllBytes());
+            int end = all.indexOf("\r\n\r\n");
+            return new RawReply(
+                    Integer.parseInt(all.substring(9, 12)),
+                    all.substring(0, end),
+                    all.substring(end + 4));
+        }
+    }
+
+    private record RawReply(int status, String head, String body) {}
+
+    @Nested
+    class Passing {
+        @Test
+        void requestAndAnswerPassUnchanged() throws Exception {
+            InetSocketAddress entry =
+                    scene((r, s) -> s.getOutputStream().write(RawServer.ok(r, "whole")));
+            RawReply reply = raw(entry, "POST", "/w/a%20b?q=1", "body");
+            assertThat(reply.status()).isEqualTo(200);
+            assertThat(reply.body()).isEqualTo("whole");
+            assertThat(reply.head()).contains("Signed: s");
+            RawServer.Request r = mServer.requests().get(0);
+            assertThat(r.line()).isEqualTo("POST /w/a%20b?q=1 HTTP/1.1");
+            assertThat(r.body()).isEqualTo("body");
+            assertThat(r.field("Host")).isEqualTo("h");
+            assertThat(r.field("Id")).isEqualTo("request-1");
+            assertThat(r.field("Caller")).isEqualTo("desk");
+            assertThat(r.field("Server")).isEqualTo("server-1");
+            assertThat(Integer.parseInt(r.field("Left-Ms"))).isBetween(1, 600);
+        }
+
+        @Test
+        void hostAndPathWithoutARouteAreNotFound() throws Exception {
+            InetSocketAddress entry =
+                    scene((r, s) -> s.getOutputStream().write(RawServer.ok(r, "")));
+            assertThat(raw(entry, "GET", "/x/", "").status()).isEqualTo(404);
+            assertThat(send(request(entry, "/r/")).statusCode()).isEqualTo(404);
+        }
+
+        @Test
+        void withoutAConfigurationRequestsAreRefusedAsNotRun() throws Exception {
+            InetSocketAddress entry = node("caller", "desk");
+            RawReply reply = raw(entry, "GET", "/r/", "");
+            assertThat(reply.status()).isEqualTo(503);
+            assertThat(reply.head()).contains("Retry-After: ");
+            assertThat(mRelays.get(0).isReady()).isFalse();
+        }
+
+        @Test
+        void answerThatEndsWithItsConnectionIsWhole() throws Exception {
+            InetSocketAddress entry =
+                    scene(
+                            (r, s) -> {
+                                s.getOutputStream()
+                                        .write(
+                                                RawServer.text(
+                                                        "HTTP/1.1 200 OK\r\nId: request-1\r\n"
+                                                                + "Signed: s\r\n\r\nwhole"));
+                                s.close();
+                            });
+            RawReply reply = raw(entry, "GET", "/r/", "");
+            assertThat(reply.status()).isEqualTo(200);
+            assertThat(reply.body()).isEqualTo("whole");
+        }
+    }
+
+    @Nested
+    class Failing {
+        @Test
+        void requestThatMayNotRunTwiceIsSentOnceWhenItsAnswerIsLost() throws Exception {
+            InetSocketAddress entry = scene((r, s) -> s.close());
+            assertThat(raw(entry, "POST", "/w/", "").status()).isEqualTo(502);
+            assertThat(mServer.requests()).hasSize(1);
+        }
+
+        @Test
+        void truncatedAnswerIsNotPassedOn() throws Exception {
+            InetSocketAddress entry =
+                    scene(
+                            (r, s) -> {
+                                byte[] whole = RawServer.ok(r, "whole");
+                                s.getOutputStream().write(whole, 0, whole.length - 2);
+                                s.close();
+                            });
+            assertThat(raw(entry, "POST", "/w/", "").status()).isEqualTo(502);
+        }
+
+        @Test
+        void unsignedSuccessIsNotPassedOn() throws Exception {
+            InetSocketAddress entry =
+                    scene(
+                            (r, s) ->
+                                    s.getOutputStream()
+                                            .write(
+                                                    RawServer.text(
+                                                            "HTTP/1.1 200 OK\r\nId: request-1\r\n"
+                                                                    + "Content-Length: 0\r\n\r\n")));
+            assertThat(raw(entry, "POST", "/w/", "").status()).isEqualTo(502);
+        }
+
+        @Test
+        void serversStatementThatItDidNotRunIsPassedOnAsSuch() throws Exception {
+            InetSocketAddress entry =
+                    scene(
+                            (r, s) ->
+                                    s.getOutputStream()
+                                            .write(
+                                                    RawServer.text(
+                                                            "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"
+                                                                    + "Content-Length: 0\r\n\r\n")));
+            RawReply reply = raw(entry, "POST", "/w/", "");
+            assertThat(reply.status()).isEqualTo(503);
+            assertThat(reply.head()).contains("Retry-After: ");
+        }
+
+        @Test
+        void answerToAnotherRequestIsSkipped() throws Exception {
+            InetSocketAddress entry =
+                    scene(
+                            (r, s) -> {
+                                s.getOutputStream()
+                                        .write(
+                                                RawServer.text(
+                                                        "HTTP/1.1 200 OK\r\nId: other\r\n"
+                                                                + "Signed: s\r\n"
+                                                                + "Content-Length: 5\r\n\r\nwrong"));
+                                s.getOutputStream().write(RawServer.ok(r, "right"));
+                            });
+            RawReply reply = raw(entry, "POST", "/w/", "");
+            assertThat(reply.body()).isEqualTo("right");
+        }
+
+        @Test
+        void silentServerIsGivenUpAtTheRoutesTimeout() throws Exception {
+            InetSocketAddress entry = scene((r, s) -> {});
+            long start = System.nanoTime();
+            assertThat(raw(entry, "POST", "/w/", "").status()).isIn(502, 504);
+            Duration took = Duration.ofNanos(System.nanoTime() - start);
+            assertThat(took)
+                    .isBetween(ROUTE_TIMEOUT.minusMillis(50), ROUTE_TIMEOUT.plusMillis(500));
+        }
+
+        @Test
+        void callerThatHangsUpEndsIdempotentWorkAtTheServer() throws Exception {
+            InetSocketAddress entry = scene((r, s) -> {});
+            try (Socket s = new Socket("127.0.0.1", entry.getPort())) {
+                s.getOutputStream()
+                        .write(
+                                RawServer.text(
+                                        "GET /r/ HTTP/1.1\r\nHost: h\r\nId: request-1\r\n\r\n"));
+                Loop.await("the request arrives", () -> mServer.requests().size() == 1);
+            }
+            Loop.await("its connection is closed", () -> mServer.closed() == 1);
+        }
+    }
+
+    @Nested
+    class Changing {
+        @Test
+        void drainingServerGetsNoWorkAfterTheDrainTime() throws Exception {
+            InetSocketAddress entry =
+                    scene((r, s) -> s.getOutputStream().write(RawServer.ok(r, "")));
+            assertThat(raw(entry, "GET", "/r/", "").status()).isEqualTo(200);
+            heartbeat(1, "books", mServer, true);
+            Loop.await(
+                    "the server gets no more work",
+                    () -> {
+                        try {
+                            return raw(entry, "GET", "/r/", "").status() == 503;
+                        } catch (IOException e) {
+                            throw new AssertionError(e);
+                        }
+                    });
+            int before = mServer.requests().size();
+            assertThat(raw(entry, "GET", "/r/", "").status()).isEqualTo(503);
+            assertThat(mServer.requests()).hasSize(before);
+        }
+
+        @Test
+        void nodeThatRestartsKnowsThatItsServerHasLeft() throws Exception {
+            scene((r, s) -> s.getOutputStream().write(RawServer.ok(r, "")));
+            mLoop.run(() -> mRelays.get(1).left("server-1", 0, () -> {}));
+            Loop.await("the record", () -> mStore.has("azurestage/left/server-1"));
+            InetSocketAddress again = node("owner", "books");
+            Heartbeat late =
+                    new Heartbeat(
+                            "server-1",
+                            2,
+                            "books",
+                            mServer.address(),
+                            10,
+                            false,
+                            Duration.ZERO,
+                            99);
+            Loop.await("the node is ready", () -> mRelays.get(2).isReady());
+            mLoop.run(() -> mRelays.get(2).heard(late, () -> {}));
+            assertThat(raw(again, "GET", "/r/", "").status()).isEqualTo(503);
+            assertThat(mServer.requests()).isEmpty();
+        }
+
+        @Test
+        void entryThatLapsedDuringAnOutageIsBackAfterIt() throws Exception {
+            InetSocketAddress entry =
+                    scene((r, s) -> s.getOutputStream().write(RawServer.ok(r, "")));
+            mStore.setDown(true);
+            assertThat(raw(entry, "GET", "/r/", "").status()).isEqualTo(200);
+            mStore.lapse();
+            mStore.setDown(false);
+            Loop.await("the entry is back", () -> !mStore.keys("azurestage/nodes/").isEmpty());
+            assertThat(raw(entry, "GET", "/r/", "").status()).isEqualTo(200);
+        }
+
+        @Test
+        void configurationNeverGoesBack() throws Exception {
+            InetSocketAddress entry =
+                    scene((r, s) -> s.getOutputStream().write(RawServer.ok(r, "")));
+            mStore.put("op/config", new byte[] {9});
+            mStore.put("op/config", new byte[] {3});
+            assertThat(raw(entry, "GET", "/r/", "").status()).isEqualTo(200);
+            assertThat(mRelays.get(0).configVersion()).isEqualTo(9);
+        }
+    }
+}
