--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -103,12 +103,7 @@
         mTime = time;
         mEvents = events;
         mIdentity = new NodeIdentity(settings.nodeId(), time.now().toEpochMilli());
-        long drain = (long) (settings.drain().toNanos() * DRAIN_PART);
-        mTracker =
-                new BackendTracker(
-                        time,
-                        Duration.ofNanos(drain),
-                        settings.heartbeat().multipliedBy(MISSED_HEARTBEATS));
+        mTracker = tracker(settings, time);
         SplittableRandom random = new SplittableRandom(mIdentity.incarnation());
         CallAttribution calls = new CallAttribution(time, random.split());
         ChainLevels levels = new ChainLevels(time);
@@ -139,18 +134,10 @@
                         mConfig::version,
                         mConfig::document,
                         d -> mConfig.offer(d, "node"));
-        Router router =
-                new Router(
-                        settings.dataCentre(),
-                        settings.region(),
-                        ROUTING,
-                        EjectionListener.NONE,
-                        time,
-                        random.split());
         mDirectory =
                 new FleetDirectory(
                         new EntryTable(time, LAPSE_GRACE),
-                        router,
+                        router(settings, time, random),
                         a -> new LinkClient(loop, time, address(a), self, linkState()),
                         ownKey,
                         link,
@@ -174,6 +161,22 @@
         mEntryKeys = new PrefixFeed(loop, port.store(), ENTRY_PREFIX, mDirectory, events);
     }
 
+    private static BackendTracker tracker(RelaySettings settings, TimeSource time) {
+        long drain = (long) (settings.drain().toNanos() * DRAIN_PART);
+        Duration silence = settings.heartbeat().multipliedBy(MISSED_HEARTBEATS);
+        return new BackendTracker(time, Duration.ofNanos(drain), silence);
+    }
+
+    private static Router router(RelaySettings settings, TimeSource time, SplittableRandom random) {
+        return new Router(
+                settings.dataCentre(),
+                settings.region(),
+                ROUTING,
+                EjectionListener.NONE,
+                time,
+                random.split());
+    }
+
     /**
      * Starts a node. Its ports are open when this returns.
      *
--- a/relay/src/test/java/io/azurestage/relay/RelayTest.java
+++ b/relay/src/test/java/io/azurestage/relay/RelayTest.java
@@ -31,6 +31,15 @@
             new HeaderNames("Id", "Left-Ms", "Server", "Not-Run", "Signed", "Caller");
     private static final Duration ROUTE_TIMEOUT = Duration.ofMillis(600);
 
+    private static final byte[] UNSIGNED =
+            RawServer.text("HTTP/1.1 200 OK\r\nId: request-1\r\nContent-Length: 0\r\n\r\n");
+    private static final byte[] NOT_RUN =
+            RawServer.text("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    private static final byte[] OF_ANOTHER =
+            RawServer.text(
+                    "HTTP/1.1 200 OK\r\nId: other\r\nSigned: s\r\n"
+                            + "Content-Length: 5\r\n\r\nwrong");
+
     private final Loop mLoop = new Loop();
     private final MapStore mStore = new MapStore();
     private final List<AutoCloseable> mOpen = new ArrayList<>();
@@ -247,27 +256,13 @@
 
         @Test
         void unsignedSuccessIsNotPassedOn() throws Exception {
-            InetSocketAddress entry =
-                    scene(
-                            (r, s) ->
-                                    s.getOutputStream()
-                                            .write(
-                                                    RawServer.text(
-                                                            "HTTP/1.1 200 OK\r\nId: request-1\r\n"
-                                                                    + "Content-Length: 0\r\n\r\n")));
+            InetSocketAddress entry = scene((r, s) -> s.getOutputStream().write(UNSIGNED));
             assertThat(raw(entry, "POST", "/w/", "").status()).isEqualTo(502);
         }
 
         @Test
         void serversStatementThatItDidNotRunIsPassedOnAsSuch() throws Exception {
-            InetSocketAddress entry =
-                    scene(
-                            (r, s) ->
-                                    s.getOutputStream()
-                                            .write(
-                                                    RawServer.text(
-                                                            "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"
-                                                                    + "Content-Length: 0\r\n\r\n")));
+            InetSocketAddress entry = scene((r, s) -> s.getOutputStream().write(NOT_RUN));
             RawReply reply = raw(entry, "POST", "/w/", "");
             assertThat(reply.status()).isEqualTo(503);
             assertThat(reply.head()).contains("Retry-After: ");
@@ -278,12 +273,7 @@
             InetSocketAddress entry =
                     scene(
                             (r, s) -> {
-                                s.getOutputStream()
-                                        .write(
-                                                RawServer.text(
-                                                        "HTTP/1.1 200 OK\r\nId: other\r\n"
-                                                                + "Signed: s\r\n"
-                                                                + "Content-Length: 5\r\n\r\nwrong"));
+                                s.getOutputStream().write(OF_ANOTHER);
                                 s.getOutputStream().write(RawServer.ok(r, "right"));
                             });
             RawReply reply = raw(entry, "POST", "/w/", "");
