--- a/node/src/main/java/io/azurestage/node/AdminHandler.java
+++ b/node/src/main/java/io/azurestage/node/AdminHandler.java
@@ -69,7 +69,7 @@
                             response,
                             callback,
                             HttpStatus.NOT_FOUND_404,
-                            "no such page; see docs/operations.md");
+                            "no such page; see docs/OPERATIONS.md");
         }
         return true;
     }
--- a/node/src/test/java/io/azurestage/node/CancellationTest.java
+++ b/node/src/test/java/io/azurestage/node/CancellationTest.java
@@ -13,7 +13,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.extension.ExtendWith;
 
 /** Requests that nobody waits for any more, and what happens below them. */
 class CancellationTest {
@@ -50,7 +49,6 @@
     }
 
     @Test
-    @ExtendWith(KnownRed.class)
     void anHttp1CallerThatGoesAwayFreesTheWholeChain() throws Exception {
         freesTheWholeChain(mMesh.request(mMesh.node(0), "GET", "/bookings/1"));
     }
