Refuse entries and heartbeats with unusable addresses, and log unexpected failures

Cause, found by reading: a foreign entry with an address of another form made placement throw on the event loop, which closed the caller's connection without an answer or a log line. Ruled out: the same by the operator's configuration, whose decoder refuses what it cannot read.

--- a/mesh/src/main/java/io/azurestage/mesh/Address.java
+++ b/mesh/src/main/java/io/azurestage/mesh/Address.java
@@ -6,12 +6,18 @@
 import java.util.Optional;
 
 /** Parses {@code IP:PORT} without ever asking a name server. */
-final class Address {
+public final class Address {
     private static final int MAX_PORT = 65_535;
 
     private Address() {}
 
-    static Optional<InetSocketAddress> parse(String address) {
+    /**
+     * Reads an address.
+     *
+     * @param address text of the form {@code IP:PORT}
+     * @return the address, or empty if the text has another form
+     */
+    public static Optional<InetSocketAddress> parse(String address) {
         int colon = address.lastIndexOf(':');
         if (colon < 0) {
             return Optional.empty();
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -18,6 +18,7 @@
 import io.azurestage.core.routing.Router;
 import io.azurestage.core.routing.RoutingSettings;
 import io.azurestage.core.time.TimeSource;
+import io.azurestage.mesh.Address;
 import io.azurestage.relay.entry.Entry;
 import io.azurestage.relay.entry.EntrySettings;
 import io.azurestage.relay.fleet.Announcer;
@@ -138,7 +139,13 @@
                 new FleetDirectory(
                         new EntryTable(time, LAPSE_GRACE),
                         router(settings, time, random),
-                        a -> new LinkClient(loop, time, address(a), self, linkState()),
+                        a ->
+                                new LinkClient(
+                                        loop,
+                                        time,
+                                        Address.parse(a).orElseThrow(),
+                                        self,
+                                        linkState()),
                         ownKey,
                         link,
                         mOwner,
@@ -412,10 +419,4 @@
     private static String hostPort(InetSocketAddress a) {
         return a.getAddress().getHostAddress() + ":" + a.getPort();
     }
-
-    private static InetSocketAddress address(String hostPort) {
-        int colon = hostPort.lastIndexOf(':');
-        return new InetSocketAddress(
-                hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
-    }
 }
--- a/relay/src/main/java/io/azurestage/relay/RelaySettings.java
+++ b/relay/src/main/java/io/azurestage/relay/RelaySettings.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Optional;
 
 /**
  * Settings of a node on a platform.
@@ -13,7 +12,6 @@
  * @param service service of the backend server on this VM
  * @param entryAddress where callers on this VM send their requests
  * @param linkAddress where other nodes connect
- * @param metricsAddress where metrics are served, or empty
  * @param heartbeat time between two heartbeats of a backend server
  * @param drain how long a leaving server takes work after its report was acknowledged
  * @param stopTime time between SIGTERM and SIGKILL
@@ -28,7 +26,6 @@
         String service,
         InetSocketAddress entryAddress,
         InetSocketAddress linkAddress,
-        Optional<InetSocketAddress> metricsAddress,
         Duration heartbeat,
         Duration drain,
         Duration stopTime,
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
@@ -12,13 +12,14 @@
 import io.azurestage.relay.call.LoadReport;
 import io.azurestage.relay.http.Exchange;
 import io.azurestage.relay.http.Field;
+import io.azurestage.relay.http.Fields;
 import io.azurestage.relay.http.Reply;
 import io.azurestage.relay.owner.Owner;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -180,18 +181,18 @@
                     EventType.ATTEMPT_FAILED,
                     Map.of("status", Integer.toString(reply.status()), "cause", failure));
         }
-        Reply whole = reply;
-        boolean own = reply.fields().stream().noneMatch(f -> f.name().equalsIgnoreCase(idName()));
-        if (own) {
-            Set<Field> fields = new LinkedHashSet<>(reply.fields());
-            fields.add(mEntry.idField(mSpec.requestId()));
-            whole = new Reply(reply.status(), List.copyOf(fields), reply.body());
-        }
-        mExchange.reply(whole);
+        mExchange.reply(withId(reply));
     }
 
-    private String idName() {
-        return mEntry.idField("").name();
+    /** Servers repeat the request's id; answers of this node get it here. */
+    private Reply withId(Reply reply) {
+        Field id = mEntry.idField(mSpec.requestId());
+        if (Fields.first(reply.fields(), id.name()).isPresent()) {
+            return reply;
+        }
+        List<Field> fields = new ArrayList<>(reply.fields());
+        fields.add(id);
+        return new Reply(reply.status(), fields, reply.body());
     }
 
     private void callerGone() {
--- a/relay/src/main/java/io/azurestage/relay/fleet/EntryCodec.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/EntryCodec.java
@@ -7,6 +7,7 @@
 import io.azurestage.core.backend.BackendState;
 import io.azurestage.core.backend.ServerEntry;
 import io.azurestage.core.context.NodeIdentity;
+import io.azurestage.mesh.Address;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 
@@ -57,6 +58,9 @@
             if (server.slots() < 1) {
                 throw new IOException("slots is missing or not positive");
             }
+            if (Address.parse(n.path("link").asText()).isEmpty()) {
+                throw new IOException("link is not of the form IP:PORT");
+            }
             return new ServerEntry(
                     new NodeIdentity(text(n, "nodeId"), n.path("incarnation").asLong()),
                     text(n, "link"),
--- a/relay/src/main/java/io/azurestage/relay/http/InboundConnection.java
+++ b/relay/src/main/java/io/azurestage/relay/http/InboundConnection.java
@@ -74,6 +74,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        Unexpected.log(cause);
         ctx.close();
     }
 
--- a/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
@@ -6,6 +6,7 @@
 import io.azurestage.relay.call.CallResult;
 import io.azurestage.relay.call.CallSpec;
 import io.azurestage.relay.call.CallTarget;
+import io.azurestage.relay.http.Unexpected;
 import io.azurestage.wire.generated.link.CallCancel;
 import io.azurestage.wire.generated.link.CallQuery;
 import io.azurestage.wire.generated.link.Hello;
@@ -376,6 +377,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            Unexpected.log(cause);
             ctx.close();
         }
     }
--- a/relay/src/main/java/io/azurestage/relay/link/LinkServer.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkServer.java
@@ -3,6 +3,7 @@
 import io.azurestage.core.context.NodeIdentity;
 import io.azurestage.core.time.TimeSource;
 import io.azurestage.relay.call.CallTarget;
+import io.azurestage.relay.http.Unexpected;
 import io.azurestage.wire.generated.link.LinkMessage;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -130,6 +131,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            Unexpected.log(cause);
             ctx.close();
         }
     }
--- a/relay/src/main/java/io/azurestage/relay/owner/Owner.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/Owner.java
@@ -13,6 +13,7 @@
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
 import io.azurestage.core.time.TimeSource;
+import io.azurestage.mesh.Address;
 import io.azurestage.relay.HeaderNames;
 import io.azurestage.relay.call.CallHandle;
 import io.azurestage.relay.call.CallListener;
@@ -22,7 +23,6 @@
 import io.azurestage.relay.call.LoadReport;
 import io.azurestage.relay.http.HttpPool;
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -116,7 +116,7 @@
         if (mPool != null) {
             mPool.close();
         }
-        mPool = new HttpPool(mLoop, address(s.address()), CONNECT_TIMEOUT);
+        mPool = new HttpPool(mLoop, Address.parse(s.address()).orElseThrow(), CONNECT_TIMEOUT);
         int limit = Math.max(1, (int) Math.floor(s.slots() * SLOT_PART));
         mAdmission = AdmissionController.withFixedLimit(limit, mTime);
     }
@@ -225,10 +225,4 @@
     EventLog events() {
         return mEvents;
     }
-
-    private static InetSocketAddress address(String hostPort) {
-        int colon = hostPort.lastIndexOf(':');
-        return new InetSocketAddress(
-                hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
-    }
 }
--- a/relay/src/test/java/io/azurestage/relay/RelayTest.java
+++ b/relay/src/test/java/io/azurestage/relay/RelayTest.java
@@ -21,7 +21,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -84,7 +83,6 @@
                         service,
                         entry,
                         free(),
-                        Optional.empty(),
                         Duration.ofMillis(1_500),
                         Duration.ofSeconds(2),
                         Duration.ofSeconds(3),
