Close the port half-way through a stop, so that no late request is left behind

Ruled out: requests cut by the link or by the server (they ran on). The port and idle connections are now closed after half of the time; what was taken by then is answered. Test: RelayTest.nodeThatStopsLeavesNoRequestBehindThoughItsCallersStay, fails on the code before.

--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -59,6 +59,12 @@
     /** Missed heartbeats after which a silent backend server counts as gone. */
     private static final int MISSED_HEARTBEATS = 5;
 
+    /** Part of the time to stop after which no new request is taken. */
+    private static final double CLOSE_PART = 0.5;
+
+    /** Part of the time to stop after which the process ends whatever still runs. */
+    private static final double END_PART = 0.9;
+
     /** Part of the drain time in which queued work is still sent, so that none arrives too late. */
     private static final double DRAIN_PART = 0.6;
 
@@ -314,6 +320,11 @@
         return mConfig.version();
     }
 
+    /** Returns the requests that have no answer yet. */
+    int open() {
+        return mEntry.open();
+    }
+
     /**
      * Returns the limits for callers that are in force.
      *
@@ -342,21 +353,22 @@
         announce();
     }
 
-    /** Callers learn from two missed readiness checks, a second apart, that they should go. */
+    /**
+     * Callers learn from missed readiness checks that they should go, but some stay until the port
+     * is closed. From then on a request is not read, so its caller may send it again elsewhere.
+     */
     private void finishStopping() {
         long since = mTime.nanos() - mStopStarted;
-        long least = (long) (mSettings.stopTime().toNanos() * 0.55);
-        long most = (long) (mSettings.stopTime().toNanos() * 0.9);
-        boolean idle = mEntry.open() == 0 && mOwner.inProgress() == 0;
-        if (since < most && (since < least || !idle)) {
-            return;
-        }
-        if (!mClosed) {
-            // A request that arrives from now on is not read, so its caller may send it again.
+        long stopNanos = mSettings.stopTime().toNanos();
+        if (!mClosed && since >= (long) (stopNanos * CLOSE_PART)) {
             mClosed = true;
             mListener.close();
             return;
         }
+        boolean idle = mEntry.open() == 0 && mOwner.inProgress() == 0;
+        if (!mClosed || !idle && since < (long) (stopNanos * END_PART)) {
+            return;
+        }
         mEvents.record(
                 EventType.NODE_STOPPED,
                 Map.of(
--- a/relay/src/test/java/io/azurestage/relay/RelayTest.java
+++ b/relay/src/test/java/io/azurestage/relay/RelayTest.java
@@ -21,6 +21,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -28,6 +30,7 @@
 class RelayTest {
     private static final HeaderNames NAMES =
             new HeaderNames("Id", "Left-Ms", "Server", "Not-Run", "Signed", "Caller");
+    private static final int CALLERS = 8;
     private static final Duration ROUTE_TIMEOUT = Duration.ofMillis(600);
 
     private static final byte[] UNSIGNED =
@@ -304,6 +307,43 @@
 
     @Nested
     class Changing {
+        /**
+         * Where most nodes of a data centre are not ready, clients go on sending to all of them.
+         */
+        @Test
+        void nodeThatStopsLeavesNoRequestBehindThoughItsCallersStay() throws Exception {
+            InetSocketAddress entry =
+                    scene(
+                            (r, s) -> {
+                                LockSupport.parkNanos(Duration.ofMillis(400).toNanos());
+                                s.getOutputStream().write(RawServer.ok(r, ""));
+                            });
+            AtomicInteger openAtTheEnd = new AtomicInteger(-1);
+            Runnable caller =
+                    () -> {
+                        while (openAtTheEnd.get() < 0) {
+                            try {
+                                raw(entry, "GET", "/r/", "");
+                            } catch (IOException | RuntimeException e) {
+                                // Refused or closed unread, which the caller may repeat.
+                                LockSupport.parkNanos(Duration.ofMillis(1).toNanos());
+                            }
+                        }
+                    };
+            List<Thread> callers = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                callers.add(new Thread(caller));
+            }
+            callers.forEach(Thread::start);
+            Relay stopping = mRelays.get(0);
+            mLoop.run(() -> stopping.stop(() -> openAtTheEnd.compareAndSet(-1, stopping.open())));
+            Loop.await("the node has stopped", () -> openAtTheEnd.get() >= 0);
+            for (Thread t : callers) {
+                t.join();
+            }
+            assertThat(openAtTheEnd.get()).isZero();
+        }
+
         @Test
         void drainingServerGetsNoWorkAfterTheDrainTime() throws Exception {
             InetSocketAddress entry =
