Remove what nothing calls in the pool, and one branch written twice

Found by reading the change: HttpPool kept its connect timeout and a count that nothing used, and two outcomes of a record's write had the same branch.

--- a/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
@@ -132,9 +132,10 @@
         mStore.compareAndSwap(PREFIX + serverId, PlatformStore.ABSENT, value, lease)
                 .thenAcceptAsync(
                         r -> {
-                            if (r instanceof WriteResult.Applied) {
-                                once.run();
-                            } else if (r instanceof WriteResult.Conflict) {
+                            boolean held =
+                                    r instanceof WriteResult.Applied
+                                            || r instanceof WriteResult.Conflict;
+                            if (held) {
                                 once.run();
                             } else {
                                 notWritten(serverId, r.toString(), once);
--- a/relay/src/main/java/io/azurestage/relay/http/HttpPool.java
+++ b/relay/src/main/java/io/azurestage/relay/http/HttpPool.java
@@ -28,7 +28,6 @@
 
     private final EventLoop mLoop;
     private final InetSocketAddress mAddress;
-    private final Duration mConnectTimeout;
     private final Bootstrap mBootstrap;
     private final Deque<OutboundConnection> mIdle = new ArrayDeque<>();
     private final Set<Channel> mOpen = new HashSet<>();
@@ -44,7 +43,6 @@
     public HttpPool(EventLoop loop, InetSocketAddress address, Duration connectTimeout) {
         mLoop = loop;
         mAddress = address;
-        mConnectTimeout = connectTimeout;
         mBootstrap =
                 new Bootstrap()
                         .group(loop)
@@ -80,15 +78,6 @@
         Set.copyOf(mOpen).forEach(Channel::close);
     }
 
-    /**
-     * Returns the open connections.
-     *
-     * @return a count
-     */
-    public int connections() {
-        return mOpen.size();
-    }
-
     private OutboundConnection takeIdle(boolean freshOnly) {
         long now = System.nanoTime();
         Iterator<OutboundConnection> newestFirst = mIdle.descendingIterator();
