Attribute a server's call to the request that expires with it

Cause: a call carries no id of its parent, so it was given to one of the running operations in proportion to their usual rates. Ruled out: slow learning after the restart (the same was seen before it).

CallAttributionTest.SameCallOfTwoOperations fails without it.

--- a/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
+++ b/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
@@ -4,18 +4,21 @@
 import io.azurestage.core.time.TimeSource;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
 /**
  * Attributes calls of a backend server to the requests that it runs. A call carries no id of its
- * parent, so for each pair of an operation that runs and one that is called the rate of calls per
- * running request is estimated, and a call is attributed in proportion to these rates. With many
- * requests at once a single attribution may be wrong, but the proportions are right, which is what
- * demand by class needs. Not thread-safe.
+ * parent, but it expires no later than its parent, and mostly at the same time. Requests with the
+ * call's deadline are therefore preferred. For those that remain, the rate of calls per running
+ * request is estimated for each pair of an operation that runs and one that is called, and the call
+ * is attributed in proportion to these rates. Not thread-safe.
  */
 public final class CallAttribution {
     private static final double HALF_LIFE_SECONDS = 10;
@@ -33,11 +36,29 @@
 
     private static final int MAX_CHAINS = 256;
 
+    /**
+     * Usual difference between the deadlines of a parent and of its call: the remaining time is
+     * sent in whole milliseconds twice, to the server and from it, and half of one is cut off each
+     * time.
+     */
+    private static final double USUAL_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
+    /** Half of the range in which deadlines that belong together differ by more or less. */
+    private static final double GAP_WIDTH_NANOS = TimeUnit.MICROSECONDS.toNanos(500);
+
+    /** Deadlines that differ by more do not belong together; a busy node reads late. */
+    private static final double MAX_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
+
     private static final class Chain {
         private final Map<String, Double> mCalls = new HashMap<>();
         private final List<CallSource> mRunning = new ArrayList<>();
         private double mSeconds = PRIOR_SECONDS;
         private double mStarts;
+
+        /** Estimated calls of an operation for each second that a request runs. */
+        private double rate(String operation) {
+            return (PRIOR_CALLS + mCalls.getOrDefault(operation, 0.0)) / mSeconds;
+        }
     }
 
     private final TimeSource mTime;
@@ -89,35 +110,48 @@
      * Attributes a call.
      *
      * @param operation called operation
+     * @param deadlineNanos monotonic time at which the server gives up the call
      * @return the request that probably made it, or empty if none runs
      */
-    public Optional<CallSource> attribute(String operation) {
+    public Optional<CallSource> attribute(String operation, long deadlineNanos) {
         advance();
-        double sum = 0;
-        for (Chain c : mChains.values()) {
-            sum += weight(c, operation);
-        }
-        if (sum <= 0) {
-            return Optional.empty();
+        Optional<CallSource> same = choose(operation, s -> likelihood(s, deadlineNanos));
+        if (same.isPresent()) {
+            return same;
         }
-        double draw = mRandom.nextDouble() * sum;
-        Chain chosen = null;
+        Optional<CallSource> later =
+                choose(operation, s -> s.deadlineNanos() - deadlineNanos > 0 ? 1 : 0);
+        return later.isPresent() ? later : choose(operation, s -> 1);
+    }
+
+    /** Likelihood that a request and a call with this deadline belong together, up to a factor. */
+    private static double likelihood(CallSource s, long deadlineNanos) {
+        double gap = s.deadlineNanos() - deadlineNanos;
+        double off = (gap - USUAL_GAP_NANOS) / GAP_WIDTH_NANOS;
+        return Math.abs(gap) > MAX_GAP_NANOS ? 0 : Math.exp(-Math.abs(off));
+    }
+
+    private Optional<CallSource> choose(String operation, ToDoubleFunction<CallSource> likelihood) {
+        Map<Chain, Double> weights = new LinkedHashMap<>();
+        CallSource chosen = null;
+        double sum = 0;
         for (Chain c : mChains.values()) {
-            double w = weight(c, operation);
-            if (w <= 0) {
-                continue;
+            double rate = c.rate(operation);
+            double before = sum;
+            for (CallSource s : c.mRunning) {
+                double weight = rate * likelihood.applyAsDouble(s);
+                sum += weight;
+                if (weight > 0 && mRandom.nextDouble() * sum < weight) {
+                    chosen = s;
+                }
             }
-            c.mCalls.merge(operation, w / sum, Double::sum);
-            if (chosen == null && draw < w) {
-                chosen = c;
-            }
-            draw -= w;
+            weights.put(c, sum - before);
         }
-        if (chosen == null) {
-            return Optional.empty();
+        double total = sum;
+        if (chosen != null) {
+            weights.forEach((c, w) -> c.mCalls.merge(operation, w / total, Double::sum));
         }
-        List<CallSource> running = chosen.mRunning;
-        return Optional.of(running.get(mRandom.nextInt(running.size())));
+        return Optional.ofNullable(chosen);
     }
 
     /**
@@ -148,14 +182,6 @@
                 && c.mCalls.getOrDefault(operation, 0.0) >= SURE_CALLS * c.mStarts;
     }
 
-    private double weight(Chain c, String operation) {
-        if (c.mRunning.isEmpty()) {
-            return 0;
-        }
-        double calls = PRIOR_CALLS + c.mCalls.getOrDefault(operation, 0.0);
-        return c.mRunning.size() * calls / c.mSeconds;
-    }
-
     private void advance() {
         long now = mTime.nanos();
         double seconds = Math.max(0, (now - mLast) / 1e9);
--- a/core/src/test/java/io/azurestage/core/calls/CallAttributionTest.java
+++ b/core/src/test/java/io/azurestage/core/calls/CallAttributionTest.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -41,11 +42,11 @@
             PriorityQueue<Step> steps =
                     new PriorityQueue<>(Comparator.comparingLong(Step::atNanos));
             for (int i = 0; i < 30 * seconds; i++) {
-                run(steps, random, new CallSource(mExport, 1, false), seconds, 0, 150);
+                run(steps, random, new CallSource(mExport, 1, false, 0), seconds, 0, 150);
             }
             for (int i = 0; i < 100 * seconds; i++) {
                 ChainKey k = random.nextInt(10) < 3 ? mUrgentIndex : mIndex;
-                run(steps, random, new CallSource(k, 1, false), seconds, 4, 20);
+                run(steps, random, new CallSource(k, 1, false, 0), seconds, 4, 20);
             }
             long now = 0;
             while (!steps.isEmpty()) {
@@ -74,7 +75,7 @@
         }
 
         private void attribute() {
-            mCalls.attribute("status")
+            mCalls.attribute("status", 0)
                     .ifPresent(
                             s -> {
                                 mAttributed++;
@@ -99,11 +100,67 @@
         }
     }
 
+    /**
+     * Load pattern of a desk at its worst: orders and checks run side by side and both make the
+     * same call, as critical and as browsing work.
+     */
+    @Nested
+    class SameCallOfTwoOperations {
+        private static final int EACH = 40;
+        private final ManualTimeSource mTime = new ManualTimeSource();
+        private final CallAttribution mCalls = new CallAttribution(mTime, new SplittableRandom(1));
+
+        private CallSource source(String operation, WorkClass c, long deadlineMillis) {
+            ChainKey key = new ChainKey("desk", operation, "p", c);
+            return new CallSource(key, 1, false, TimeUnit.MILLISECONDS.toNanos(deadlineMillis));
+        }
+
+        private void runBoth() {
+            for (int i = 0; i < EACH; i++) {
+                mCalls.started(source("order", WorkClass.CRITICAL, 2_000 + 10 * i));
+                mCalls.started(source("check", WorkClass.BROWSING, 2_005 + 10 * i));
+            }
+        }
+
+        private WorkClass classOfCall(double deadlineMillis) {
+            long nanos = (long) (deadlineMillis * 1e6);
+            return mCalls.attribute("lookup", nanos).orElseThrow().chain().workClass();
+        }
+
+        @Test
+        void callBelongsToTheRequestThatExpiresWithIt() {
+            runBoth();
+            for (int i = 0; i < EACH; i++) {
+                mTime.advance(Duration.ofMillis(3));
+                assertThat(classOfCall(1_998.9 + 10 * i)).isEqualTo(WorkClass.CRITICAL);
+                assertThat(classOfCall(2_003.9 + 10 * i)).isEqualTo(WorkClass.BROWSING);
+            }
+        }
+
+        @Test
+        void callWithADeadlineOfItsOwnBelongsToARequestThatExpiresLater() {
+            mCalls.started(source("order", WorkClass.CRITICAL, 5_000));
+            for (int i = 0; i < EACH; i++) {
+                mCalls.started(source("check", WorkClass.BROWSING, 500));
+            }
+            mTime.advance(Duration.ofMillis(3));
+            for (int i = 0; i < EACH; i++) {
+                assertThat(classOfCall(700)).isEqualTo(WorkClass.CRITICAL);
+            }
+        }
+
+        @Test
+        void callThatFitsNoDeadlineIsStillAttributed() {
+            mCalls.started(source("check", WorkClass.BROWSING, 500));
+            assertThat(classOfCall(9_000)).isEqualTo(WorkClass.BROWSING);
+        }
+    }
+
     @Test
     void callWithoutARunningRequestHasNoParent() {
         CallAttribution calls =
                 new CallAttribution(new ManualTimeSource(), new SplittableRandom(1));
-        assertThat(calls.attribute("status")).isEmpty();
+        assertThat(calls.attribute("status", 0)).isEmpty();
     }
 
     @Nested
--- a/relay/src/main/java/io/azurestage/relay/entry/Entry.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/Entry.java
@@ -29,6 +29,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -46,6 +47,9 @@
      */
     private static final long WAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
+    /** A call without a remaining time fits every request that runs. */
+    private static final long NO_DEADLINE_NANOS = 0;
+
     private static final double UNIT = 0x1p-53;
     private static final int HASH_SHIFT = 11;
 
@@ -138,7 +142,11 @@
         String service = mSplit.next(route);
         String id = Fields.first(request.fields(), mSettings.names().requestId()).orElse("");
         boolean call = mCalledByServers.contains(route.name());
-        Optional<CallSource> parent = call ? mCalls.attribute(route.name()) : Optional.empty();
+        OptionalLong left = leftNanos(request);
+        Optional<CallSource> parent =
+                call
+                        ? mCalls.attribute(route.name(), now + left.orElse(NO_DEADLINE_NANOS))
+                        : Optional.empty();
         WorkClass workClass =
                 parent.map(p -> p.chain().workClass()).orElseGet(() -> workClass(route));
         ChainKey chain = new ChainKey(service, route.name(), Owner.PARTNER, workClass);
@@ -161,7 +169,7 @@
                         request.host(),
                         request.fields(),
                         request.body(),
-                        now + left(request, route),
+                        now + usable(left, route),
                         service,
                         route.name(),
                         workClass,
@@ -191,18 +199,24 @@
         exchange.reply(Replies.comeBack("overloaded; not run", after));
     }
 
-    private long left(InboundRequest request, Route route) {
+    private static long usable(OptionalLong left, Route route) {
         long routeNanos = route.timeout().toNanos();
+        return left.isEmpty()
+                ? routeNanos
+                : Math.max(0, Math.min(routeNanos, left.getAsLong() - WAY_NANOS));
+    }
+
+    private OptionalLong leftNanos(InboundRequest request) {
         Optional<String> left = Fields.first(request.fields(), mSettings.names().leftMillis());
-        if (left.isEmpty()) {
-            return routeNanos;
-        }
         try {
-            long millis = Long.parseLong(left.get().trim());
-            long callers = TimeUnit.MILLISECONDS.toNanos(millis) - WAY_NANOS;
-            return Math.max(0, Math.min(routeNanos, callers));
+            return left.isEmpty()
+                    ? OptionalLong.empty()
+                    : OptionalLong.of(
+                            TimeUnit.MILLISECONDS.toNanos(Long.parseLong(left.get().trim())));
         } catch (NumberFormatException e) {
-            return routeNanos;
+            // As the bound of the route applies to every request, a field without a number adds
+            // nothing.
+            return OptionalLong.empty();
         }
     }
 
--- a/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
@@ -56,7 +56,9 @@
         mPool = pool;
         mSpec = spec;
         mListener = listener;
-        mSource = new CallSource(Owner.chain(spec), spec.fraction(), spec.repeat());
+        mSource =
+                new CallSource(
+                        Owner.chain(spec), spec.fraction(), spec.repeat(), spec.deadlineNanos());
     }
 
     void offer() {
