Serve the same deep chains everywhere under overload, and learn calls faster

Change: a call keeps its parent's place in the order of admission when the parent is known for sure, and waits by it; the standing queue aimed at is 20 ms instead of 40; idle slots raise the offer by a tenth at most; 20 requests are enough when deadlines agree; operations that servers call are kept in the store (azurestage/called/), so that nodes know them after a loss of power. Nodes bear 10 ms of wait to stay in their data centre.

--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -29,13 +29,16 @@
      * Wait at one service that callers of deep chains can bear: a chain makes some five calls one
      * after the other, and its timeout may be only 800 ms.
      */
-    private static final Duration DEEP_TARGET = Duration.ofMillis(40);
+    private static final Duration DEEP_TARGET = Duration.ofMillis(20);
 
     /** A chain waits at the service that answers it for about one usual answer at most. */
-    private static final double DEEP_TARGET_SERVICE_TIMES = 1;
+    private static final double DEEP_TARGET_SERVICE_TIMES = 0.25;
 
     /** A deep chain's queue feeds those of all services above it, so it is drained faster. */
-    private static final Duration DEEP_HORIZON = Duration.ofMillis(300);
+    private static final Duration DEEP_HORIZON = Duration.ofMillis(150);
+
+    /** Slots are idle for as long as an admitted chain has not reached them, so growth is slow. */
+    private static final double DEEP_GROWTH = 0.1;
 
     private static final long WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -92,7 +95,13 @@
     public static AdmissionController withFixedLimit(int slots, TimeSource time) {
         Tuning t = Tuning.DEFAULT;
         Tuning fixed =
-                new Tuning(false, t.order(), DEEP_TARGET, DEEP_TARGET_SERVICE_TIMES, DEEP_HORIZON);
+                new Tuning(
+                        false,
+                        QueueOrder.RANK,
+                        DEEP_TARGET,
+                        DEEP_TARGET_SERVICE_TIMES,
+                        DEEP_HORIZON,
+                        DEEP_GROWTH);
         return new AdmissionController(slots, time, (lender, borrower, c, lent) -> {}, fixed);
     }
 
--- a/core/src/main/java/io/azurestage/core/admission/CapacityOffer.java
+++ b/core/src/main/java/io/azurestage/core/admission/CapacityOffer.java
@@ -8,15 +8,16 @@
  */
 final class CapacityOffer {
     private static final double MAX_SHRINK = 0.25;
-    private static final double MAX_GROWTH = 1;
 
     private final double mHorizonNanos;
+    private final double mMaxGrowth;
     private double mDrainSum;
     private double mBusySum;
     private int mCount;
 
     CapacityOffer(Tuning tuning) {
         mHorizonNanos = tuning.horizon().toNanos();
+        mMaxGrowth = tuning.maxGrowth();
     }
 
     /**
@@ -42,6 +43,6 @@
         mBusySum = 0;
         mCount = 0;
         double correction = (targetNanos / 2 - drain) / mHorizonNanos + idle;
-        return limit * (1 + Math.max(-MAX_SHRINK, Math.min(MAX_GROWTH, correction)));
+        return limit * (1 + Math.max(-MAX_SHRINK, Math.min(mMaxGrowth, correction)));
     }
 }
--- a/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
+++ b/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
@@ -31,6 +31,9 @@
     /** Requests after which the estimates of two chains that run together have parted. */
     private static final double ENOUGH_STARTS = 100;
 
+    /** The same when the calls expired with their parents, which leaves little doubt. */
+    private static final double ENOUGH_SURE_STARTS = 20;
+
     /** Calls a request that are not explained by wrong attribution. */
     private static final double SURE_CALLS = 0.6;
 
@@ -51,6 +54,7 @@
 
     private static final class Chain {
         private final Map<String, Double> mCalls = new HashMap<>();
+        private final Map<String, Double> mSureCalls = new HashMap<>();
         private final List<CallSource> mRunning = new ArrayList<>();
         private double mSeconds = PRIOR_SECONDS;
         private double mStarts;
@@ -117,11 +121,14 @@
         advance();
         Optional<CallSource> same = choose(operation, s -> likelihood(s, deadlineNanos));
         if (same.isPresent()) {
+            Chain c = mChains.get(same.get().chain().operation());
+            c.mSureCalls.merge(operation, 1.0, Double::sum);
             return same;
         }
         Optional<CallSource> later =
                 choose(operation, s -> s.deadlineNanos() - deadlineNanos > 0 ? 1 : 0);
-        return later.isPresent() ? later : choose(operation, s -> 1);
+        Optional<CallSource> any = later.isPresent() ? later : choose(operation, s -> 1);
+        return any.map(CallSource::withUnknownOrder);
     }
 
     /** Likelihood that a request and a call with this deadline belong together, up to a factor. */
@@ -177,9 +184,12 @@
      */
     public boolean makesCalls(ChainKey chain, String operation) {
         Chain c = mChains.get(chain.operation());
-        return c != null
-                && c.mStarts >= ENOUGH_STARTS
-                && c.mCalls.getOrDefault(operation, 0.0) >= SURE_CALLS * c.mStarts;
+        if (c == null || c.mStarts < ENOUGH_SURE_STARTS) {
+            return false;
+        }
+        double needed = SURE_CALLS * c.mStarts;
+        return c.mSureCalls.getOrDefault(operation, 0.0) >= needed
+                || c.mStarts >= ENOUGH_STARTS && c.mCalls.getOrDefault(operation, 0.0) >= needed;
     }
 
     private void advance() {
@@ -195,6 +205,7 @@
             c.mSeconds += c.mRunning.size() * seconds;
             c.mStarts *= keep;
             c.mCalls.replaceAll((op, n) -> n * keep);
+            c.mSureCalls.replaceAll((op, n) -> n * keep);
         }
     }
 }
--- a/core/src/main/java/io/azurestage/core/calls/CallerShares.java
+++ b/core/src/main/java/io/azurestage/core/calls/CallerShares.java
@@ -1,7 +1,9 @@
 package io.azurestage.core.calls;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Tells operations that servers call from those that clients use. Clients are spread over all
@@ -27,6 +29,18 @@
     }
 
     private final Map<String, Counts> mOperations = new HashMap<>();
+    private final Set<String> mAssumed = new HashSet<>();
+
+    /**
+     * Takes servers to call an operation until enough requests show whether they do.
+     *
+     * @param operation the operation
+     */
+    public void assume(String operation) {
+        if (mAssumed.size() < MAX_OPERATIONS) {
+            mAssumed.add(operation);
+        }
+    }
 
     /**
      * Counts a request.
@@ -58,7 +72,7 @@
         Counts c = mOperations.get(operation);
         int nodes = nodesByService.values().stream().mapToInt(n -> n).sum();
         if (c == null || c.mSum < ENOUGH || nodes == 0) {
-            return false;
+            return mAssumed.contains(operation);
         }
         for (Map.Entry<String, Double> e : c.mByService.entrySet()) {
             double part = nodesByService.getOrDefault(e.getKey(), 0) / (double) nodes;
--- a/core/src/test/java/io/azurestage/core/admission/ServerModel.java
+++ b/core/src/test/java/io/azurestage/core/admission/ServerModel.java
@@ -26,7 +26,14 @@
 
     Figures run(int slots, boolean adaptive, long seed) {
         Tuning d = Tuning.DEFAULT;
-        Tuning t = new Tuning(adaptive, d.order(), d.target(), d.targetServiceTimes(), d.horizon());
+        Tuning t =
+                new Tuning(
+                        adaptive,
+                        d.order(),
+                        d.target(),
+                        d.targetServiceTimes(),
+                        d.horizon(),
+                        d.maxGrowth());
         Simulation sim = new Simulation(slots, Surge.SHARES, t, seed);
         sim.mDeadline = (long) (200 * Simulation.MILLI);
         int parallel = Math.max(1, slots / 10);
--- a/core/src/test/java/io/azurestage/core/calls/CallAttributionTest.java
+++ b/core/src/test/java/io/azurestage/core/calls/CallAttributionTest.java
@@ -42,11 +42,11 @@
             PriorityQueue<Step> steps =
                     new PriorityQueue<>(Comparator.comparingLong(Step::atNanos));
             for (int i = 0; i < 30 * seconds; i++) {
-                run(steps, random, new CallSource(mExport, 1, false, 0), seconds, 0, 150);
+                run(steps, random, new CallSource(mExport, 1, false, 0.2, 0), seconds, 0, 150);
             }
             for (int i = 0; i < 100 * seconds; i++) {
                 ChainKey k = random.nextInt(10) < 3 ? mUrgentIndex : mIndex;
-                run(steps, random, new CallSource(k, 1, false, 0), seconds, 4, 20);
+                run(steps, random, new CallSource(k, 1, false, 0.2, 0), seconds, 4, 20);
             }
             long now = 0;
             while (!steps.isEmpty()) {
@@ -112,7 +112,8 @@
 
         private CallSource source(String operation, WorkClass c, long deadlineMillis) {
             ChainKey key = new ChainKey("desk", operation, "p", c);
-            return new CallSource(key, 1, false, TimeUnit.MILLISECONDS.toNanos(deadlineMillis));
+            return new CallSource(
+                    key, 1, false, 0.2, TimeUnit.MILLISECONDS.toNanos(deadlineMillis));
         }
 
         private void runBoth() {
@@ -149,6 +150,29 @@
             }
         }
 
+        @Test
+        void callKeepsThePlaceOfItsParentOnlyWhenThatIsSure() {
+            runBoth();
+            assertThat(mCalls.attribute("lookup", 1_999_000_000L).orElseThrow().order())
+                    .isEqualTo(0.2);
+            assertThat(mCalls.attribute("lookup", 700_000_000L).orElseThrow().order())
+                    .isEqualTo(0.5);
+        }
+
+        @Test
+        void fewRequestsShowWhatTheyCallWhenDeadlinesAgree() {
+            runBoth();
+            for (int i = 0; i < EACH; i++) {
+                classOfCall(1_998.9 + 10 * i);
+            }
+            assertThat(mCalls.makesCalls(key("order"), "lookup")).isTrue();
+            assertThat(mCalls.makesCalls(key("check"), "lookup")).isFalse();
+        }
+
+        private ChainKey key(String operation) {
+            return new ChainKey("desk", operation, "p", WorkClass.CRITICAL);
+        }
+
         @Test
         void callThatFitsNoDeadlineIsStillAttributed() {
             mCalls.started(source("check", WorkClass.BROWSING, 500));
@@ -187,6 +211,18 @@
             }
         }
 
+        @Test
+        void assumptionHoldsUntilTrafficDecides() {
+            mShares.assume("check");
+            assertThat(mShares.isCalledByServers("check", mNodes)).isTrue();
+            Random random = new Random(3);
+            String[] services = {"books", "desk", "ledger", "stable"};
+            for (int i = 0; i < 500; i++) {
+                mShares.count("check", services[random.nextInt(4)]);
+            }
+            assertThat(mShares.isCalledByServers("check", mNodes)).isFalse();
+        }
+
         @Test
         void fewRequestsDecideNothing() {
             for (int i = 0; i < 10; i++) {
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -22,6 +22,7 @@
 import io.azurestage.relay.entry.Entry;
 import io.azurestage.relay.entry.EntrySettings;
 import io.azurestage.relay.fleet.Announcer;
+import io.azurestage.relay.fleet.CallRecords;
 import io.azurestage.relay.fleet.ConfigFeed;
 import io.azurestage.relay.fleet.FleetDirectory;
 import io.azurestage.relay.fleet.LeaveRecords;
@@ -71,8 +72,20 @@
     /** An entry lapses with its lease during an outage and is written again within this time. */
     private static final Duration LAPSE_GRACE = Duration.ofMillis(2_500);
 
+    /**
+     * Wait that is borne to stay in a data centre: traffic between them is paid for, and a tenth of
+     * the shortest aim of the users' routes is not felt.
+     */
+    private static final Duration CROSSING_COST = Duration.ofMillis(10);
+
+    /** Way to another region and back, and more, since it is the dearest traffic. */
+    private static final Duration REGION_COST = Duration.ofMillis(100);
+
+    /** Servers of the users' services are slow for three seconds after their start. */
+    private static final Duration WARM_UP = Duration.ofSeconds(3);
+
     private static final RoutingSettings ROUTING =
-            new RoutingSettings(Duration.ofMillis(1), Duration.ofMillis(30), Duration.ofSeconds(3));
+            new RoutingSettings(CROSSING_COST, REGION_COST, WARM_UP);
 
     private final RelaySettings mSettings;
     private final EventLoop mLoop;
@@ -90,6 +103,7 @@
     private final LinkServer mLinks;
     private final RetryBudget mBudget;
     private final LeaveRecords mLeaves;
+    private final CallRecords mCallRecords;
     private RequestLimits mLimits = RequestLimits.defaults();
     private HttpListener mListener;
     private Heartbeat mEarly;
@@ -114,6 +128,7 @@
         SplittableRandom random = new SplittableRandom(mIdentity.incarnation());
         CallAttribution calls = new CallAttribution(time, random.split());
         ChainLevels levels = new ChainLevels(time);
+        mCallRecords = new CallRecords(loop, port.store(), events);
         mOwner =
                 new Owner(
                         loop,
@@ -123,7 +138,8 @@
                         calls,
                         levels,
                         events,
-                        this::nodesByService);
+                        this::nodesByService,
+                        mCallRecords::write);
         mBudget =
                 new RetryBudget(
                         time,
@@ -145,13 +161,7 @@
                 new FleetDirectory(
                         new EntryTable(time, LAPSE_GRACE),
                         router(settings, time, random),
-                        a ->
-                                new LinkClient(
-                                        loop,
-                                        time,
-                                        Address.parse(a).orElseThrow(),
-                                        self,
-                                        linkState()),
+                        a -> linkClient(a, self),
                         ownKey,
                         link,
                         mOwner,
@@ -174,6 +184,11 @@
         mEntryKeys = new PrefixFeed(loop, port.store(), ENTRY_PREFIX, mDirectory, events);
     }
 
+    private LinkClient linkClient(String address, LinkSelf self) {
+        return new LinkClient(
+                mLoop, mTime, Address.parse(address).orElseThrow(), self, linkState());
+    }
+
     private static BackendTracker tracker(RelaySettings settings, TimeSource time) {
         long drain = (long) (settings.drain().toNanos() * DRAIN_PART);
         Duration silence = settings.heartbeat().multipliedBy(MISSED_HEARTBEATS);
@@ -225,6 +240,7 @@
                         "incarnation", Long.toString(mIdentity.incarnation()),
                         "link", hostPort(mSettings.linkAddress())));
         mLeaves.load(mTracker::left, this::leavesKnown);
+        mCallRecords.load(this::assumeCalledByServers);
         mConfigKeys.start();
         mEntryKeys.start();
         mLoop.scheduleAtFixedRate(
@@ -412,6 +428,11 @@
                                 state)));
     }
 
+    private void assumeCalledByServers(String operation) {
+        mOwner.assumeCalledByServers(operation);
+        mEntry.assumeCalledByServers(operation);
+    }
+
     private void configured(TrafficConfig config) {
         mLimits = config.limits();
         mEntry.configure(config);
--- a/relay/src/main/java/io/azurestage/relay/entry/Entry.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/Entry.java
@@ -114,6 +114,15 @@
         mCalledByServers.retainAll(names);
     }
 
+    /**
+     * Takes servers to call an operation until answers show whether they do.
+     *
+     * @param operation the operation
+     */
+    public void assumeCalledByServers(String operation) {
+        mCalledByServers.add(operation);
+    }
+
     /**
      * Returns the requests that have no answer yet.
      *
@@ -151,7 +160,7 @@
                 parent.map(p -> p.chain().workClass()).orElseGet(() -> workClass(route));
         ChainKey chain = new ChainKey(service, route.name(), Owner.PARTNER, workClass);
         mBudget.requested(service);
-        double order = order(id);
+        double order = parent.map(CallSource::order).orElseGet(() -> order(id));
         double fraction = parent.map(CallSource::fraction).orElse(1.0);
         if (!call) {
             OptionalDouble admitted = mLevels.admit(chain, order);
--- a/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
@@ -58,7 +58,11 @@
         mListener = listener;
         mSource =
                 new CallSource(
-                        Owner.chain(spec), spec.fraction(), spec.repeat(), spec.deadlineNanos());
+                        Owner.chain(spec),
+                        spec.fraction(),
+                        spec.repeat(),
+                        spec.order(),
+                        spec.deadlineNanos());
     }
 
     void offer() {
@@ -66,7 +70,7 @@
                 new Work(
                         Owner.PARTNER,
                         mSpec.workClass(),
-                        mSpec.inProgress() ? 0 : mSpec.order(),
+                        mSpec.order(),
                         mSpec.deadlineNanos(),
                         mSpec.fraction(),
                         mSpec.repeat(),
--- a/relay/src/main/java/io/azurestage/relay/owner/Owner.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/Owner.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -62,6 +63,7 @@
     private final ChainLevels mLevels;
     private final EventLog mEvents;
     private final Supplier<Map<String, Integer>> mNodesByService;
+    private final Consumer<String> mCalledByServers;
     private final CallerShares mCallers = new CallerShares();
     private final Map<ChainKey, Double> mBelow = new HashMap<>();
     private BackendServer mServer;
@@ -80,6 +82,7 @@
      * @param levels admitted fractions of the services below
      * @param events log of events
      * @param nodesByService number of known nodes by service
+     * @param calledByServers hears of each operation that servers call, again and again
      */
     public Owner(
             EventLoop loop,
@@ -89,7 +92,8 @@
             CallAttribution calls,
             ChainLevels levels,
             EventLog events,
-            Supplier<Map<String, Integer>> nodesByService) {
+            Supplier<Map<String, Integer>> nodesByService,
+            Consumer<String> calledByServers) {
         mLoop = loop;
         mTime = time;
         mTracker = tracker;
@@ -98,6 +102,7 @@
         mLevels = levels;
         mEvents = events;
         mNodesByService = nodesByService;
+        mCalledByServers = calledByServers;
     }
 
     /** Takes over the server that the tracker shows, after it has changed. */
@@ -189,9 +194,21 @@
         }
         double below = mCalls.callsPerRequest(key) * (1 + mBelow.getOrDefault(key, 0.0));
         boolean byServers = mCallers.isCalledByServers(spec.operation(), mNodesByService.get());
+        if (byServers) {
+            mCalledByServers.accept(spec.operation());
+        }
         return new LoadReport(admission.load(), levels, below, byServers);
     }
 
+    /**
+     * Takes servers to call an operation until traffic shows whether they do.
+     *
+     * @param operation the operation
+     */
+    public void assumeCalledByServers(String operation) {
+        mCallers.assume(operation);
+    }
+
     /**
      * Learns how many calls a call of this server makes itself.
      *
--- /dev/null
+++ b/relay/src/test/java/io/azurestage/relay/fleet/CallRecordsTest.java
@@ -0,0 +1,74 @@
+package io.azurestage.relay.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.core.event.EventLog;
+import io.azurestage.core.time.HybridClock;
+import io.azurestage.core.time.TimeSource;
+import io.azurestage.relay.Loop;
+import io.azurestage.relay.MapStore;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class CallRecordsTest {
+    private final Loop mLoop = new Loop();
+    private final MapStore mStore = new MapStore();
+    private final Set<String> mRead = ConcurrentHashMap.newKeySet();
+
+    @AfterEach
+    void close() throws Exception {
+        mLoop.close();
+    }
+
+    private CallRecords records() {
+        EventLog events = new EventLog("n", new HybridClock(TimeSource.system()), 10, e -> {});
+        return new CallRecords(mLoop.loop(), mStore, events);
+    }
+
+    @Test
+    void nodeThatStartsLearnsWhatOthersHaveRecorded() throws Exception {
+        CallRecords writer = records();
+        mLoop.run(() -> writer.write("status"));
+        Loop.await("the record", () -> mStore.has("azurestage/called/status"));
+        CallRecords starting = records();
+        mLoop.run(() -> starting.load(mRead::add));
+        Loop.await("the record is read", () -> mRead.equals(Set.of("status")));
+    }
+
+    @Test
+    void recordIsWrittenAfterAnOutage() throws Exception {
+        CallRecords writer = records();
+        mStore.setDown(true);
+        mLoop.run(() -> writer.write("status"));
+        mStore.setDown(false);
+        Loop.await(
+                "the record",
+                () -> {
+                    try {
+                        mLoop.run(() -> writer.write("status"));
+                    } catch (Exception e) {
+                        throw new AssertionError(e);
+                    }
+                    return mStore.has("azurestage/called/status");
+                });
+    }
+
+    @Test
+    void readGoesOnAfterAnOutage() throws Exception {
+        mStore.put("azurestage/called/status", new byte[0]);
+        mStore.setDown(true);
+        CallRecords starting = records();
+        mLoop.run(() -> starting.load(mRead::add));
+        mStore.setDown(false);
+        Loop.await("the record is read", () -> mRead.contains("status"));
+    }
+
+    @Test
+    void nameThatIsTooLongForAKeyIsLeftOut() throws Exception {
+        CallRecords writer = records();
+        mLoop.run(() -> writer.write("x".repeat(300)));
+        assertThat(mStore.keys("azurestage/called/")).isEmpty();
+    }
+}
