Add azurestage explain: a request's story and cause from log files

On a platform there is no admin address to ask, only logs; searching them by hand for one id shows lines without the reason that connects them.

ExplainTest has a row for each reason of admission, of a node and of an attempt; one that has no sentence fails it.

--- a/cli/src/main/java/io/azurestage/cli/Cli.java
+++ b/cli/src/main/java/io/azurestage/cli/Cli.java
@@ -23,6 +23,7 @@
                     new ConfigHistoryCommand(),
                     new StatusCommand(),
                     new TimelineCommand(),
+                    new ExplainCommand(),
                     new DrainCommand(),
                     new CompletionCommand(this::commands));
 
--- /dev/null
+++ b/cli/src/test/java/io/azurestage/cli/ExplainTest.java
@@ -0,0 +1,215 @@
+package io.azurestage.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.core.admission.RefusalReason;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class ExplainTest {
+    @TempDir Path mFolder;
+
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream mErr = new ByteArrayOutputStream();
+
+    private static String line(long millis, String message) {
+        return "{\"timestamp\":"
+                + millis
+                + ",\"level\":\"INFO\",\"mdc\": {},\"formattedMessage\":\""
+                + message
+                + "\",\"throwable\":null}";
+    }
+
+    private Path log(String name, String... lines) throws IOException {
+        return Files.write(mFolder.resolve(name), List.of(lines));
+    }
+
+    private ExitCode explain(String id, Path... logs) {
+        CliContext context =
+                CliContext.system().printingTo(new PrintStream(mOut), new PrintStream(mErr));
+        String[] args = new String[3 + logs.length];
+        args[0] = "explain";
+        args[1] = id;
+        args[2] = "--logs";
+        for (int i = 0; i < logs.length; i++) {
+            args[3 + i] = logs[i].toString();
+        }
+        return new Cli(context).run(args);
+    }
+
+    private String out() {
+        return mOut.toString(StandardCharsets.UTF_8);
+    }
+
+    private String err() {
+        return mErr.toString(StandardCharsets.UTF_8);
+    }
+
+    @Nested
+    class Stories {
+        @Test
+        void refusalAtTheEntryNamesTheFractionAndWhenToComeBack() throws IOException {
+            Path log =
+                    log(
+                            "a.log",
+                            line(
+                                    1_000,
+                                    "E201 REQUEST_REFUSED node=n1 id=r1 {fraction=0.838,"
+                                            + " operation=read, reason=overload-below,"
+                                            + " retryAfterMillis=557}"));
+            assertThat(explain("r1", log)).isEqualTo(ExitCode.DONE);
+            assertThat(out()).contains("admits only 0.838").contains("come back after 557 ms");
+        }
+
+        @Test
+        void linesOfSeveralNodesComeInCausalOrder() throws IOException {
+            Path entry =
+                    log(
+                            "entry.log",
+                            line(
+                                    2_000,
+                                    "E206 ATTEMPT_FAILED node=n1 id=r1 {cause=maybe run: the"
+                                            + " connection failed: reset, node=n2/i-7/5,"
+                                            + " operation=read, service=books, status=502,"
+                                            + " tookMillis=40}"));
+            Path owner =
+                    log(
+                            "owner.log",
+                            line(
+                                    2_000,
+                                    "E201 REQUEST_REFUSED node=n2 id=r1 {load=0.4,"
+                                            + " operation=read, outcome=maybe-run: no answer in"
+                                            + " PT0.04S, server=i-7}"));
+            explain("r1", entry, owner);
+            assertThat(out().indexOf("REQUEST_REFUSED"))
+                    .isLessThan(out().indexOf("ATTEMPT_FAILED"));
+            assertThat(out()).contains("backend server i-7 had it all the time");
+        }
+
+        @Test
+        void failureOfAServerNamesTheCallsThatFailedBesideIt() throws IOException {
+            Path log =
+                    log(
+                            "all.log",
+                            line(
+                                    2_020,
+                                    "E206 ATTEMPT_FAILED node=n2 id=c9 {cause=not run:"
+                                            + " deadline-exceeded, operation=lookup,"
+                                            + " service=stable, status=503, tookMillis=3}"),
+                            line(
+                                    2_040,
+                                    "E206 ATTEMPT_FAILED node=n1 id=r1 {cause=server,"
+                                            + " node=n2/i-7/5, operation=read, service=books,"
+                                            + " status=500, tookMillis=60}"));
+            explain("r1", log);
+            assertThat(out()).contains("answered 500 itself");
+            assertThat(out()).contains("lookup of stable (not run: deadline-exceeded) x 1");
+        }
+
+        @Test
+        void linesThatWereLeftOutAreReported() throws IOException {
+            Path log =
+                    log(
+                            "a.log",
+                            line(1_000, "E204 REQUEST_CANCELLED node=n1 id=r1 {tookMillis=20}"),
+                            line(
+                                    1_400,
+                                    "E206 ATTEMPT_FAILED left out 312 lines of the last second,"
+                                            + " over the limit of 200"));
+            explain("r1", log);
+            assertThat(out()).contains("the caller went away");
+            assertThat(err()).contains("left out 312 lines");
+        }
+
+        @Test
+        void prefixesAndBrokenLinesDoNoHarm() throws IOException {
+            Path log =
+                    log(
+                            "bench.txt",
+                            "day  worth",
+                            "{\"timestamp\":17,\"formatted",
+                            "  0.53 node-5 " + line(5, "E204 REQUEST_CANCELLED node=n1 id=r1 {}"));
+            assertThat(explain("r1", log)).isEqualTo(ExitCode.DONE);
+        }
+    }
+
+    @Nested
+    class Reasons {
+        @ParameterizedTest
+        @EnumSource(RefusalReason.class)
+        void eachReasonOfAdmissionHasASentence(RefusalReason reason) {
+            String text = reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+            assertKnown("outcome=not-run: " + text + ", server=i-1, load=2.0");
+        }
+
+        @ParameterizedTest
+        @CsvSource({
+            "server-leaving",
+            "node-stopping",
+            "no-server-of-this-service",
+            "no-server",
+            "overload-below"
+        })
+        void eachReasonOfANodeHasASentence(String reason) {
+            assertKnown("reason=" + reason);
+        }
+
+        @ParameterizedTest
+        @CsvSource({
+            "maybe-run: no answer in PT1S",
+            "maybe-run: the connection failed: reset",
+            "maybe-run: the answer bears no signature of the server",
+            "not-run: no connection to 10.0.0.1",
+            "refused by the server"
+        })
+        void eachOutcomeHasASentence(String outcome) {
+            assertKnown("outcome=" + outcome);
+        }
+
+        @Test
+        void timeoutHasASentence() {
+            assertKnown("cause=timeout");
+        }
+
+        private void assertKnown(String fields) {
+            String text = line(1, "E201 REQUEST_REFUSED node=n id=r {" + fields + "}");
+            assertThat(Cause.of(LogLine.parse(text).orElseThrow())).isPresent();
+        }
+    }
+
+    @Nested
+    class BadInput {
+        @Test
+        void requestWithoutALineIsANegativeResult() throws IOException {
+            Path log = log("a.log", line(1, "E100 NODE_STARTED node=n1 id= {service=books}"));
+            assertThat(explain("r1", log)).isEqualTo(ExitCode.NEGATIVE);
+            assertThat(out()).contains("no line names it");
+        }
+
+        @Test
+        void missingFileIsNamed() {
+            assertThat(explain("r1", mFolder.resolve("none.log"))).isEqualTo(ExitCode.BAD_INPUT);
+            assertThat(err()).contains("none.log cannot be read");
+        }
+
+        @Test
+        void missingLogsAreReported() {
+            CliContext context =
+                    CliContext.system().printingTo(new PrintStream(mOut), new PrintStream(mErr));
+            assertThat(new Cli(context).run("explain", "r1")).isEqualTo(ExitCode.BAD_INPUT);
+            assertThat(err()).contains("--logs is missing");
+        }
+    }
+}
