Never open an acknowledged drain again after silence

Cause, found by a property test over random reports, silences and restarts: a server that had said it leaves, fell silent for 7.5 s and was heard again became ready for a moment, and its next report, again "draining", started a new drain time in which it was sent new work. A cut between a server and its node during a drain is enough.

Change: the tracker remembers that an incarnation has said it leaves. BackendTrackerTest.Drains (2,000 sequences, seed 23) fails without it.

--- a/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
@@ -30,6 +30,7 @@
     private long mSequence;
     private long mHeardNanos;
     private long mLeavingNanos;
+    private boolean mSaysItLeaves;
 
     /**
      * Creates a tracker that knows no server.
@@ -64,6 +65,7 @@
         mServer = server(h, h.draining() ? BackendState.DRAINING : BackendState.READY);
         mSequence = h.sequence();
         mHeardNanos = mTime.nanos();
+        mSaysItLeaves = h.draining();
         // Another process may have acknowledged the leaving of a server first seen as leaving.
         mLeavingNanos = mHeardNanos - mDrain.toNanos();
         return true;
@@ -76,13 +78,14 @@
         mSequence = h.sequence();
         mHeardNanos = mTime.nanos();
         BackendState state = mServer.state();
-        // A server that was silent and speaks again has not left.
+        // A server that was silent and speaks again has not left, but a drain is not opened again.
         if (state == BackendState.GONE) {
-            state = BackendState.READY;
+            state = mSaysItLeaves ? BackendState.DRAINING : BackendState.READY;
         }
         if (state == BackendState.READY && h.draining()) {
             state = BackendState.DRAINING;
             mLeavingNanos = mHeardNanos;
+            mSaysItLeaves = true;
         }
         BackendServer next = server(h, state);
         boolean changed = !next.equals(mServer);
--- a/core/src/test/java/io/azurestage/core/backend/BackendTrackerTest.java
+++ b/core/src/test/java/io/azurestage/core/backend/BackendTrackerTest.java
@@ -131,6 +131,42 @@
         }
     }
 
+    @Group
+    class Drains {
+        /** A drain that was acknowledged is over for good, also after silence and late reports. */
+        @Property(tries = 2_000, seed = "23")
+        void noReportOpensADrainAgain(@ForAll long seed) {
+            ManualTimeSource time = new ManualTimeSource();
+            BackendTracker tracker = new BackendTracker(time, DRAIN, SILENCE);
+            Random random = new Random(seed);
+            long[] drainedAt = {-1, -1, -1};
+            long[] drainsFrom = {Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE};
+            long[] sequence = new long[3];
+            for (int i = 0; i < 40; i++) {
+                int n = random.nextInt(3);
+                sequence[n]++;
+                if (random.nextInt(4) == 0) {
+                    drainsFrom[n] = Math.min(drainsFrom[n], sequence[n]);
+                }
+                long late = random.nextInt(5) == 0 ? random.nextInt(10) : 0;
+                long sent = Math.max(1, sequence[n] - late);
+                tracker.heard(beat("s" + n, 1 + n, sent, sent >= drainsFrom[n]));
+                boolean current = tracker.server().orElseThrow().startedAtMillis() == 1 + n;
+                if (current && sent >= drainsFrom[n] && drainedAt[n] < 0) {
+                    drainedAt[n] = time.nanos();
+                }
+                long step = random.nextInt(6) == 0 ? SILENCE.toMillis() + 100 : 400;
+                time.advance(Duration.ofMillis((long) (random.nextDouble() * step)));
+                tracker.tick();
+                int known = (int) tracker.server().orElseThrow().startedAtMillis() - 1;
+                long at = drainedAt[known];
+                if (at >= 0 && time.nanos() - at >= DRAIN.toNanos()) {
+                    assertThat(tracker.mayStart()).isFalse();
+                }
+            }
+        }
+    }
+
     @Nested
     class Entries {
         private final EntryTable mTable = new EntryTable(mTime, Duration.ofMillis(2_500));
