--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -104,6 +104,7 @@
     private final RetryBudget mBudget;
     private final LeaveRecords mLeaves;
     private final CallRecords mCallRecords;
+    private final RelayMetrics mMetrics;
     private RequestLimits mLimits = RequestLimits.defaults();
     private HttpListener mListener;
     private Heartbeat mEarly;
@@ -118,8 +119,10 @@
             PlatformPort port,
             EventLoop loop,
             EventLog events,
+            RelayMetrics metrics,
             TimeSource time) {
         mSettings = settings;
+        mMetrics = metrics;
         mLoop = loop;
         mTime = time;
         mEvents = events;
@@ -139,7 +142,8 @@
                         levels,
                         events,
                         this::nodesByService,
-                        mCallRecords::write);
+                        mCallRecords::write,
+                        metrics);
         mBudget =
                 new RetryBudget(
                         time,
@@ -177,7 +181,8 @@
                         calls,
                         mBudget,
                         events,
-                        mOwner::learnBelow);
+                        mOwner::learnBelow,
+                        metrics);
         mLeaves = new LeaveRecords(loop, port.store(), events);
         mLinks = new LinkServer(time, self, mOwner);
         mConfigKeys = new PrefixFeed(loop, port.store(), port.configPrefix(), mConfig, events);
@@ -212,6 +217,7 @@
      * @param port the platform
      * @param group the single event loop
      * @param events log of events
+     * @param metrics counts what the node does
      * @param time source of time
      * @return the node
      * @throws IllegalStateException if a port cannot be opened; another process may use it
@@ -221,17 +227,35 @@
             PlatformPort port,
             MultiThreadIoEventLoopGroup group,
             EventLog events,
+            RelayMetrics metrics,
             TimeSource time) {
         EventLoop loop = (EventLoop) group.next();
-        Relay relay = new Relay(settings, port, loop, events, time);
+        Relay relay = new Relay(settings, port, loop, events, metrics, time);
         relay.mListener =
                 HttpListener.open(
                         group, settings.entryAddress(), () -> relay.mLimits, relay.mEntry);
         relay.mLinks.open(group, settings.linkAddress());
+        relay.addGauges();
         loop.execute(relay::begin);
         return relay;
     }
 
+    private void addGauges() {
+        mMetrics.gauge(
+                "azurestage_open_requests",
+                "requests of callers on this VM without an answer",
+                mEntry::open);
+        mMetrics.gauge(
+                "azurestage_server_work",
+                "requests that run at the backend server or wait for it",
+                mOwner::inProgress);
+        mMetrics.gauge("azurestage_known_nodes", "nodes that are in use", mDirectory::nodes);
+        mMetrics.gauge(
+                "azurestage_config_version", "configuration in force, 0 if none", mConfig::version);
+        mMetrics.gauge(
+                "azurestage_ready", "1 if callers may send new work", () -> isReady() ? 1 : 0);
+    }
+
     private void begin() {
         mEvents.record(
                 EventType.NODE_STARTED,
--- /dev/null
+++ b/relay/src/main/java/io/azurestage/relay/RelayMetrics.java
@@ -0,0 +1,142 @@
+package io.azurestage.relay;
+
+import io.azurestage.config.WorkClass;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+
+/** Metrics of one node, in a registry of its own. docs/metrics.md lists them. */
+public final class RelayMetrics {
+    /**
+     * Upper bounds in seconds, around the aims (0.1 to 1.5 s) and timeouts (0.4 to 6 s) of users.
+     */
+    private static final double[] SECONDS = {
+        0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1, 1.2, 1.5, 2.5, 5
+    };
+
+    private static final int SERVER_ERRORS = 500;
+    private static final int CLIENT_ERRORS = 400;
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final Counter mRequests =
+            counter("azurestage_requests_total", "answers to callers", "work_class", "outcome");
+    private final Counter mRefusals =
+            counter("azurestage_refusals_total", "requests and calls not run", "reason");
+    private final Counter mRetries =
+            counter("azurestage_retries_total", "attempts sent again", "work_class");
+    private final Counter mEvents = counter("azurestage_events_total", "events logged", "event");
+    private final Histogram mSeconds =
+            histogram("azurestage_request_seconds", "time until a request was answered");
+    private final Histogram mQueueSeconds =
+            histogram("azurestage_queue_seconds", "wait for a slot of the backend server");
+
+    /** Creates metrics that are all zero. */
+    public RelayMetrics() {}
+
+    /**
+     * Counts an answer to a caller.
+     *
+     * @param workClass class of the request
+     * @param status status of the answer
+     * @param took time since the request came
+     */
+    public void answered(WorkClass workClass, int status, Duration took) {
+        String outcome = "success";
+        if (status >= SERVER_ERRORS) {
+            outcome = "server_error";
+        } else if (status >= CLIENT_ERRORS) {
+            outcome = "client_error";
+        }
+        String name = name(workClass);
+        mRequests.labelValues(name, outcome).inc();
+        mSeconds.labelValues(name).observe(seconds(took));
+    }
+
+    /**
+     * Counts a request or call that was not run.
+     *
+     * @param reason why, one of a fixed set
+     */
+    public void refused(String reason) {
+        mRefusals.labelValues(reason).inc();
+    }
+
+    /**
+     * Counts an attempt that is sent again.
+     *
+     * @param workClass class of the request
+     */
+    public void retried(WorkClass workClass) {
+        mRetries.labelValues(name(workClass)).inc();
+    }
+
+    /**
+     * Notes how long a request waited for its server.
+     *
+     * @param workClass class of the request
+     * @param waited time in the queue
+     */
+    public void waited(WorkClass workClass, Duration waited) {
+        mQueueSeconds.labelValues(name(workClass)).observe(seconds(waited));
+    }
+
+    /**
+     * Counts an event, whether or not its line was written.
+     *
+     * @param event name of the event
+     */
+    public void event(String event) {
+        mEvents.labelValues(event).inc();
+    }
+
+    /**
+     * Adds a value that is read when the metrics are.
+     *
+     * @param name name of the metric
+     * @param help what it says
+     * @param value reads it
+     */
+    public void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(c -> c.call(value.getAsDouble()))
+                .register(mRegistry);
+    }
+
+    /**
+     * Returns the registry, for a page of metrics.
+     *
+     * @return the registry
+     */
+    public PrometheusRegistry registry() {
+        return mRegistry;
+    }
+
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(mRegistry);
+    }
+
+    private Histogram histogram(String name, String help) {
+        return Histogram.builder()
+                .name(name)
+                .help(help)
+                .labelNames("work_class")
+                .classicOnly()
+                .classicUpperBounds(SECONDS)
+                .register(mRegistry);
+    }
+
+    private static String name(WorkClass c) {
+        return c.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static double seconds(Duration d) {
+        return d.toNanos() / (double) TimeUnit.SECONDS.toNanos(1);
+    }
+}
--- a/relay/src/main/java/io/azurestage/relay/entry/Entry.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/Entry.java
@@ -13,6 +13,7 @@
 import io.azurestage.core.route.SplitChooser;
 import io.azurestage.core.route.TrafficConfig;
 import io.azurestage.core.time.TimeSource;
+import io.azurestage.relay.RelayMetrics;
 import io.azurestage.relay.call.CallSpec;
 import io.azurestage.relay.call.LoadReport;
 import io.azurestage.relay.http.Exchange;
@@ -50,6 +51,7 @@
     /** A call without a remaining time fits every request that runs. */
     private static final long NO_DEADLINE_NANOS = 0;
 
+    private static final int UNAVAILABLE = 503;
     private static final double UNIT = 0x1p-53;
     private static final int HASH_SHIFT = 11;
 
@@ -62,6 +64,7 @@
     private final RetryBudget mBudget;
     private final EventLog mEvents;
     private final BiConsumer<ChainKey, Double> mBelow;
+    private final RelayMetrics mMetrics;
     private final SplitChooser mSplit = new SplitChooser();
     private final Set<String> mCalledByServers = new HashSet<>();
     private RouteTable mRoutes;
@@ -79,6 +82,7 @@
      * @param budget retries that may be sent
      * @param events log of events
      * @param below hears how many calls a call of the server makes, by the chain it belongs to
+     * @param metrics counts answers
      */
     public Entry(
             EventLoop loop,
@@ -89,7 +93,8 @@
             CallAttribution calls,
             RetryBudget budget,
             EventLog events,
-            BiConsumer<ChainKey, Double> below) {
+            BiConsumer<ChainKey, Double> below,
+            RelayMetrics metrics) {
         mLoop = loop;
         mTime = time;
         mSettings = settings;
@@ -99,6 +104,7 @@
         mBudget = budget;
         mEvents = events;
         mBelow = below;
+        mMetrics = metrics;
     }
 
     /**
@@ -196,6 +202,8 @@
             InboundRequest request, Exchange exchange, Route route, String id, ChainKey chain) {
         double fraction = mLevels.fraction(chain);
         Duration after = Replies.spread(fraction, order(id));
+        mMetrics.refused("overload-below");
+        mMetrics.answered(chain.workClass(), UNAVAILABLE, Duration.ZERO);
         mEvents.record(
                 EventType.REQUEST_REFUSED,
                 id,
@@ -274,6 +282,10 @@
         return mBudget;
     }
 
+    RelayMetrics metrics() {
+        return mMetrics;
+    }
+
     EventLog events() {
         return mEvents;
     }
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
@@ -131,6 +131,7 @@
         boolean mayRepeat = mRoute.idempotent() || !mMayHaveRun;
         boolean attemptsLeft = mRuns < mRoute.maxAttempts() && mPlaces < MAX_PLACES;
         if (mayRepeat && attemptsLeft && isTimeLeft() && takeRetry(load)) {
+            mEntry.metrics().retried(mSpec.workClass());
             record(EventType.RETRY_STARTED, Map.of("after", describe(result)));
             mSpec = mSpec.repeated();
             place(result);
@@ -176,6 +177,8 @@
             return;
         }
         finish();
+        Duration took = Duration.ofNanos(mEntry.time().nanos() - mArrived);
+        mEntry.metrics().answered(mSpec.workClass(), reply.status(), took);
         if (failure != null) {
             record(
                     EventType.ATTEMPT_FAILED,
--- a/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
@@ -39,6 +39,7 @@
     private final CallSource mSource;
     private Work mWork;
     private OutboundCall mRunning;
+    private long mOffered;
     private long mStarted;
     private boolean mHoldsSlot;
     private boolean mDone;
@@ -66,6 +67,7 @@
     }
 
     void offer() {
+        mOffered = mOwner.time().nanos();
         mWork =
                 new Work(
                         Owner.PARTNER,
@@ -107,6 +109,7 @@
             return;
         }
         mStarted = mOwner.time().nanos();
+        mOwner.metrics().waited(mSpec.workClass(), Duration.ofNanos(mStarted - mOffered));
         mOwner.calls().started(mSource);
         long left = mSpec.deadlineNanos() - mStarted;
         mRunning = mPool.send(request(Duration.ofNanos(left)), this::ended);
@@ -115,6 +118,7 @@
     @Override
     public void refuse(RefusalReason reason, Duration retryAfter) {
         String text = reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+        mOwner.metrics().refused(text);
         finish(new CallResult.NotRun(text, retryAfter, false));
     }
 
--- a/relay/src/main/java/io/azurestage/relay/owner/Owner.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/Owner.java
@@ -15,6 +15,7 @@
 import io.azurestage.core.time.TimeSource;
 import io.azurestage.mesh.Address;
 import io.azurestage.relay.HeaderNames;
+import io.azurestage.relay.RelayMetrics;
 import io.azurestage.relay.call.CallHandle;
 import io.azurestage.relay.call.CallListener;
 import io.azurestage.relay.call.CallResult;
@@ -64,6 +65,7 @@
     private final EventLog mEvents;
     private final Supplier<Map<String, Integer>> mNodesByService;
     private final Consumer<String> mCalledByServers;
+    private final RelayMetrics mMetrics;
     private final CallerShares mCallers = new CallerShares();
     private final Map<ChainKey, Double> mBelow = new HashMap<>();
     private BackendServer mServer;
@@ -83,6 +85,7 @@
      * @param events log of events
      * @param nodesByService number of known nodes by service
      * @param calledByServers hears of each operation that servers call, again and again
+     * @param metrics counts refusals and waits
      */
     public Owner(
             EventLoop loop,
@@ -93,7 +96,8 @@
             ChainLevels levels,
             EventLog events,
             Supplier<Map<String, Integer>> nodesByService,
-            Consumer<String> calledByServers) {
+            Consumer<String> calledByServers,
+            RelayMetrics metrics) {
         mLoop = loop;
         mTime = time;
         mTracker = tracker;
@@ -103,6 +107,7 @@
         mEvents = events;
         mNodesByService = nodesByService;
         mCalledByServers = calledByServers;
+        mMetrics = metrics;
     }
 
     /** Takes over the server that the tracker shows, after it has changed. */
@@ -151,6 +156,7 @@
     public CallHandle start(CallSpec spec, CallListener listener) {
         Optional<String> unfit = unfit(spec);
         if (unfit.isPresent()) {
+            mMetrics.refused(unfit.get());
             mEvents.record(
                     EventType.REQUEST_REFUSED,
                     spec.requestId(),
@@ -239,6 +245,10 @@
         return mCalls;
     }
 
+    RelayMetrics metrics() {
+        return mMetrics;
+    }
+
     EventLog events() {
         return mEvents;
     }
--- a/relay/src/test/java/io/azurestage/relay/RelayTest.java
+++ b/relay/src/test/java/io/azurestage/relay/RelayTest.java
@@ -10,6 +10,7 @@
 import io.azurestage.core.route.TrafficConfig;
 import io.azurestage.core.time.HybridClock;
 import io.azurestage.core.time.TimeSource;
+import io.prometheus.metrics.model.snapshots.MetricSnapshots;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -48,6 +49,7 @@
     private final HttpClient mClient =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final List<Relay> mRelays = new ArrayList<>();
+    private final List<RelayMetrics> mMetrics = new ArrayList<>();
     private long mSequence;
 
     @AfterEach
@@ -92,10 +94,12 @@
                         0.2,
                         48,
                         Duration.ofSeconds(10));
+        RelayMetrics metrics = new RelayMetrics();
+        mMetrics.add(metrics);
         TimeSource time = TimeSource.system();
         EventLog events = new EventLog(id, new HybridClock(time), 100, e -> {});
         PlatformPort port = new PlatformPort(NAMES, mStore, "op/", "op/config", RelayTest::decode);
-        mRelays.add(Relay.start(settings, port, mLoop.group(), events, time));
+        mRelays.add(Relay.start(settings, port, mLoop.group(), events, metrics, time));
         return entry;
     }
 
@@ -281,6 +285,21 @@
             assertThat(reply.body()).isEqualTo("right");
         }
 
+        @Test
+        void answersAreCountedByClassAndOutcome() throws Exception {
+            InetSocketAddress entry =
+                    scene((r, s) -> s.getOutputStream().write(RawServer.ok(r, "whole")));
+            raw(entry, "POST", "/w/a", "body");
+            raw(entry, "GET", "/unknown/a", "");
+            MetricSnapshots all = mMetrics.get(0).registry().scrape();
+            assertThat(all.stream().flatMap(m -> m.getDataPoints().stream()))
+                    .anySatisfy(
+                            d -> {
+                                assertThat(d.getLabels().get("work_class")).isEqualTo("critical");
+                                assertThat(d.getLabels().get("outcome")).isEqualTo("success");
+                            });
+        }
+
         @Test
         void silentServerIsGivenUpAtTheRoutesTimeout() throws Exception {
             InetSocketAddress entry = scene((r, s) -> {});
