--- a/relay/src/main/java/io/azurestage/relay/entry/Entry.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/Entry.java
@@ -171,7 +171,7 @@
         if (!call) {
             OptionalDouble admitted = mLevels.admit(chain, order);
             if (admitted.isEmpty()) {
-                refuse(request, exchange, route, id, chain);
+                refuse(exchange, route, id, chain);
                 return;
             }
             fraction = admitted.getAsDouble();
@@ -198,8 +198,7 @@
         new EntryCall(this, route, spec, chain, parent, exchange, now).start();
     }
 
-    private void refuse(
-            InboundRequest request, Exchange exchange, Route route, String id, ChainKey chain) {
+    private void refuse(Exchange exchange, Route route, String id, ChainKey chain) {
         double fraction = mLevels.fraction(chain);
         Duration after = Replies.spread(fraction, order(id));
         mMetrics.refused("overload-below");
