End connections that come during a stop after one request

SIGTERM at 22.069 s, the port closed at 25.07 s, but requests were still taken at 27.479 s and three were open when the process ended at 27.484 s. Draining marked only the connections of that moment; one accepted later, with a request in progress when the port closed, was kept alive and used to the end.

Change: a connection that is accepted during a drain is drained from the start. HttpListenerTest.connectionThatComesDuringTheDrainEndsAfterItsAnswer fails without it.

--- a/relay/src/main/java/io/azurestage/relay/http/HttpListener.java
+++ b/relay/src/main/java/io/azurestage/relay/http/HttpListener.java
@@ -14,6 +14,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
 /** A listening port for HTTP/1.1 requests. */
@@ -24,9 +25,14 @@
     private final Channel mChannel;
     private final Set<InboundConnection> mConnections;
 
-    private HttpListener(Channel channel, Set<InboundConnection> connections) {
+    /** Read for each new connection: those that come during a drain take one request, too. */
+    private final AtomicBoolean mDraining;
+
+    private HttpListener(
+            Channel channel, Set<InboundConnection> connections, AtomicBoolean draining) {
         mChannel = channel;
         mConnections = connections;
+        mDraining = draining;
     }
 
     /**
@@ -45,12 +51,16 @@
             Supplier<RequestLimits> limits,
             RequestHandler handler) {
         Set<InboundConnection> connections = new HashSet<>();
+        AtomicBoolean draining = new AtomicBoolean();
         ChannelInitializer<Channel> initializer =
                 new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
                         RequestLimits now = limits.get();
                         InboundConnection c = new InboundConnection(now, handler, connections);
+                        if (draining.get()) {
+                            c.drain();
+                        }
                         HttpDecoderConfig config =
                                 new HttpDecoderConfig()
                                         .setMaxInitialLineLength(now.maxHeaderBytes())
@@ -76,7 +86,7 @@
                     "cannot listen on " + address + ": " + bound.cause().getMessage(),
                     bound.cause());
         }
-        return new HttpListener(bound.channel(), connections);
+        return new HttpListener(bound.channel(), connections, draining);
     }
 
     /**
@@ -90,6 +100,7 @@
 
     /** Lets each connection end after its next answer. Call it on the event loop. */
     public void drain() {
+        mDraining.set(true);
         mConnections.forEach(InboundConnection::drain);
     }
 
