Take the status of a refusal from its reply, and correct a comment

Read of the whole change: Entry.refuse kept 503 in a constant of its own beside Replies.comeBack, which sets it, and wrote the reason "overload-below" twice; the comment on DEEP_TARGET_SERVICE_TIMES still spoke of one usual answer after the value had become a quarter. Behaviour is unchanged; formatter, linter and the tests of relay, platform and the attribution passed.

--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -31,7 +31,7 @@
      */
     private static final Duration DEEP_TARGET = Duration.ofMillis(20);
 
-    /** A chain waits at the service that answers it for about one usual answer at most. */
+    /** Work that takes long may wait longer: for a quarter of a usual answer. */
     private static final double DEEP_TARGET_SERVICE_TIMES = 0.25;
 
     /** A deep chain's queue feeds those of all services above it, so it is drained faster. */
--- a/relay/src/main/java/io/azurestage/relay/entry/Entry.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/Entry.java
@@ -51,7 +51,7 @@
     /** A call without a remaining time fits every request that runs. */
     private static final long NO_DEADLINE_NANOS = 0;
 
-    private static final int UNAVAILABLE = 503;
+    private static final String OVERLOAD_BELOW = "overload-below";
     private static final double UNIT = 0x1p-53;
     private static final int HASH_SHIFT = 11;
 
@@ -201,18 +201,19 @@
     private void refuse(Exchange exchange, Route route, String id, ChainKey chain) {
         double fraction = mLevels.fraction(chain);
         Duration after = Replies.spread(fraction, order(id));
-        mMetrics.refused("overload-below");
-        mMetrics.answered(chain.workClass(), UNAVAILABLE, Duration.ZERO);
+        Reply reply = Replies.comeBack("overloaded; not run", after);
+        mMetrics.refused(OVERLOAD_BELOW);
+        mMetrics.answered(chain.workClass(), reply.status(), Duration.ZERO);
         mEvents.record(
                 EventType.REQUEST_REFUSED,
                 id,
                 "",
                 Map.of(
-                        "reason", "overload-below",
+                        "reason", OVERLOAD_BELOW,
                         "operation", route.name(),
                         "fraction", String.format(Locale.ROOT, "%.3f", fraction),
                         "retryAfterMillis", Long.toString(after.toMillis())));
-        exchange.reply(Replies.comeBack("overloaded; not run", after));
+        exchange.reply(reply);
     }
 
     private static long usable(OptionalLong left, Route route) {
