Keep the retry budget beside the servers, so that hundreds of entries share it

Cause: each entry held its part of the budget. With 95 nodes and a constant of 124 a part is at most one retry, and a retry needs its cost and the reserve of its class at once, 1.1 and 1.5: on large and grown sites only the most important class ever got a retry, and not even that where its requests make calls (cost over one). Ruled out: larger parts at entries, whose sum could pass the bound in one window.

Now the owner of a server counts first attempts, retries and calls of repeated runs where they arrive; a service has 7 to 33 servers there, so a part holds 2 to 10.

The property over all nodes stays as it was.

--- a/core/src/main/java/io/azurestage/core/retry/RetryBudget.java
+++ b/core/src/main/java/io/azurestage/core/retry/RetryBudget.java
@@ -7,8 +7,10 @@
 import java.util.Objects;
 
 /**
- * This node's part of the retries that all nodes together may send to a service. Each request earns
- * a fraction of a retry, and each node earns an equal part of a constant allowance. The part starts
+ * This node's part of the retries that the servers of a service may get together. It is kept beside
+ * each server, not where requests enter: a service has few servers, so each holds some retries at
+ * once, while a fleet's hundreds of entries would hold less than one each. Each request earns a
+ * fraction of a retry, and each node earns an equal part of a constant allowance. The part starts
  * empty, so that a restart never refills it, and holds at most a fraction of one window's earnings,
  * so that the sum over all nodes stays within the bound in every window. Not thread-safe.
  */
@@ -54,16 +56,16 @@
     /**
      * Sets how many nodes share the budget.
      *
-     * @param nodes nodes known to be alive, at least 1
+     * @param nodes nodes beside servers of the service, at least 1
      */
     public void share(int nodes) {
         mNodes = Math.max(1, nodes);
     }
 
     /**
-     * Notes a request of a caller.
+     * Notes a first attempt.
      *
-     * @param service service that it goes to
+     * @param service service that gets it
      */
     public void requested(String service) {
         Account a = account(service);
@@ -73,20 +75,30 @@
     /**
      * Takes a retry.
      *
-     * @param service service that it goes to
-     * @param cost requests that it causes at services, itself included
+     * @param service service that gets it
      * @param reserve part of the budget that must remain, for more important work
      * @return whether it may be sent
      */
-    public boolean tryRetry(String service, double cost, double reserve) {
+    public boolean tryRetry(String service, double reserve) {
         Account a = account(service);
-        if (a.mTokens < cost + reserve * most()) {
+        // A full account always gives a retry, however many nodes share the budget.
+        if (a.mTokens < Math.min(most(), 1 + reserve * most())) {
             return false;
         }
-        a.mTokens -= cost;
+        a.mTokens--;
         return true;
     }
 
+    /**
+     * Counts a request that is sent whatever is left, because a request that runs again needs it.
+     *
+     * @param service service that gets it
+     */
+    public void charge(String service) {
+        Account a = account(service);
+        a.mTokens = Math.max(-most(), a.mTokens - 1);
+    }
+
     /**
      * Returns the retries left.
      *
--- a/core/src/test/java/io/azurestage/core/retry/RetryBudgetTest.java
+++ b/core/src/test/java/io/azurestage/core/retry/RetryBudgetTest.java
@@ -15,6 +15,9 @@
 class RetryBudgetTest {
     private static final double RATIO = 0.2;
     private static final double CONSTANT = 48;
+    private static final double LARGE_CONSTANT = 124;
+    private static final int LARGE_RATE = 200;
+    private static final double LEAST_IMPORTANT_RESERVE = 0.5;
     private static final Duration WINDOW = Duration.ofSeconds(10);
 
     @Property(tries = 60, seed = "11")
@@ -36,8 +39,8 @@
                 RetryBudget b = budgets.get(random.nextInt(nodes));
                 b.requested("s");
                 requests[t]++;
-                retries[t] += b.tryRetry("s", 1, 0) ? 1 : 0;
-                retries[t] += b.tryRetry("s", 1, 0) ? 1 : 0;
+                retries[t] += b.tryRetry("s", 0) ? 1 : 0;
+                retries[t] += b.tryRetry("s", 0) ? 1 : 0;
             }
             if (random.nextInt(50) == 0) {
                 budgets.set(random.nextInt(nodes), started(time, nodes));
@@ -57,7 +60,7 @@
 
     @Test
     void restartedNodeHasNoRetriesLeft() {
-        assertThat(started(new ManualTimeSource(), 4).tryRetry("s", 1, 0)).isFalse();
+        assertThat(started(new ManualTimeSource(), 4).tryRetry("s", 0)).isFalse();
     }
 
     @Test
@@ -66,10 +69,67 @@
         RetryBudget b = started(time, 4);
         b.left("s");
         time.advance(WINDOW.multipliedBy(10));
-        while (b.tryRetry("s", 1, 0.5)) {
+        while (b.tryRetry("s", 0.5)) {
             assertThat(b.left("s")).isPositive();
         }
-        assertThat(b.tryRetry("s", 1, 0)).isTrue();
+        assertThat(b.tryRetry("s", 0)).isTrue();
+    }
+
+    /**
+     * Load pattern: a service of 33 servers, called through 95 entries, fails one request in ten
+     * for some seconds. Kept at the entries, the budget gave less important work no retry at all,
+     * since no entry ever held more than one.
+     */
+    @Test
+    void hundredsOfEntriesStillRetryTheLeastImportantWork() {
+        Retries atEntries = replay(95);
+        Retries atServers = replay(33);
+        assertThat(atServers.granted).isGreaterThan(atServers.failed * 6 / 10);
+        assertThat(atServers.granted).isGreaterThan(atEntries.granted);
+        assertThat((double) atServers.granted)
+                .isLessThanOrEqualTo(RATIO * atServers.requests + LARGE_CONSTANT);
+    }
+
+    @Test
+    void callsOfRepeatedRunsLeaveFewerRetries() {
+        ManualTimeSource time = new ManualTimeSource();
+        RetryBudget b = started(time, 4);
+        b.left("s");
+        time.advance(WINDOW.multipliedBy(10));
+        double full = b.left("s");
+        b.charge("s");
+        assertThat(b.left("s")).isEqualTo(full - 1);
+        for (int i = 0; i < 100; i++) {
+            b.charge("s");
+        }
+        assertThat(b.left("s")).isEqualTo(-full);
+        assertThat(b.tryRetry("s", 0)).isFalse();
+    }
+
+    private record Retries(int requests, int failed, int granted) {}
+
+    private static Retries replay(int nodes) {
+        ManualTimeSource time = new ManualTimeSource();
+        Random random = new Random(7);
+        List<RetryBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            RetryBudget b = new RetryBudget(time, RATIO, LARGE_CONSTANT, WINDOW);
+            b.share(nodes);
+            budgets.add(b);
+        }
+        int failed = 0;
+        int granted = 0;
+        int window = LARGE_RATE * (int) WINDOW.toSeconds();
+        for (int i = 0; i < 2 * window; i++) {
+            time.advance(Duration.ofSeconds(1).dividedBy(LARGE_RATE));
+            RetryBudget b = budgets.get(random.nextInt(nodes));
+            b.requested("s");
+            if (i >= window && random.nextInt(10) == 0) {
+                failed++;
+                granted += b.tryRetry("s", LEAST_IMPORTANT_RESERVE) ? 1 : 0;
+            }
+        }
+        return new Retries(window, failed, granted);
     }
 
     private static RetryBudget started(ManualTimeSource time, int nodes) {
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -100,7 +100,6 @@
     private final PrefixFeed mConfigKeys;
     private final PrefixFeed mEntryKeys;
     private final LinkServer mLinks;
-    private final RetryBudget mBudget;
     private final LeaveRecords mLeaves;
     private final CallRecords mCallRecords;
     private final RelayMetrics mMetrics;
@@ -142,13 +141,8 @@
                         events,
                         this::nodesByService,
                         mCallRecords::write,
-                        metrics);
-        mBudget =
-                new RetryBudget(
-                        time,
-                        settings.retryRatio(),
-                        settings.retryConstant(),
-                        settings.retryWindow());
+                        metrics,
+                        budget(settings, time));
         mConfig = new ConfigFeed(port.configKey(), port.configDecoder(), this::configured, events);
         String link = hostPort(settings.linkAddress());
         String ownKey = ENTRY_PREFIX + link;
@@ -178,7 +172,6 @@
                         mDirectory,
                         levels,
                         calls,
-                        mBudget,
                         events,
                         mOwner::learnBelow,
                         metrics);
@@ -199,6 +192,11 @@
         return new BackendTracker(time, Duration.ofNanos(drain), silence);
     }
 
+    private static RetryBudget budget(RelaySettings settings, TimeSource time) {
+        return new RetryBudget(
+                time, settings.retryRatio(), settings.retryConstant(), settings.retryWindow());
+    }
+
     private static Router router(RelaySettings settings, TimeSource time, SplittableRandom random) {
         return new Router(
                 settings.dataCentre(),
@@ -277,7 +275,6 @@
         mDirectory.tick();
         mLinks.tick();
         mAnnouncer.tick();
-        mBudget.share(mDirectory.nodes());
         if (mStopping) {
             finishStopping();
         }
--- a/relay/src/main/java/io/azurestage/relay/call/CallSpec.java
+++ b/relay/src/main/java/io/azurestage/relay/call/CallSpec.java
@@ -21,6 +21,8 @@
  * @param fraction admitted fraction in force where the request entered
  * @param inProgress whether it is a call of a request that runs already
  * @param repeat whether it, or the request that made it, was sent before
+ * @param retry whether this attempt itself follows one that reached a server, so that it needs a
+ *     part of the retry budget
  * @param idempotent whether it may run more than once
  * @param callerService service of the VM where the request began
  */
@@ -39,11 +41,12 @@
         double fraction,
         boolean inProgress,
         boolean repeat,
+        boolean retry,
         boolean idempotent,
         String callerService) {
 
     /**
-     * Returns the same request, marked as a repeat.
+     * Returns the same request, marked as a retry.
      *
      * @return a copy
      */
@@ -63,6 +66,7 @@
                 fraction,
                 inProgress,
                 true,
+                true,
                 idempotent,
                 callerService);
     }
--- a/relay/src/main/java/io/azurestage/relay/entry/Entry.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/Entry.java
@@ -7,7 +7,6 @@
 import io.azurestage.core.calls.CallSource;
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
-import io.azurestage.core.retry.RetryBudget;
 import io.azurestage.core.route.Route;
 import io.azurestage.core.route.RouteTable;
 import io.azurestage.core.route.SplitChooser;
@@ -61,7 +60,6 @@
     private final Placement mPlacement;
     private final ChainLevels mLevels;
     private final CallAttribution mCalls;
-    private final RetryBudget mBudget;
     private final EventLog mEvents;
     private final BiConsumer<ChainKey, Double> mBelow;
     private final RelayMetrics mMetrics;
@@ -79,7 +77,6 @@
      * @param placement chooses nodes
      * @param levels admitted fractions of chains
      * @param calls attributes the server's calls to the requests that it runs
-     * @param budget retries that may be sent
      * @param events log of events
      * @param below hears how many calls a call of the server makes, by the chain it belongs to
      * @param metrics counts answers
@@ -91,7 +88,6 @@
             Placement placement,
             ChainLevels levels,
             CallAttribution calls,
-            RetryBudget budget,
             EventLog events,
             BiConsumer<ChainKey, Double> below,
             RelayMetrics metrics) {
@@ -101,7 +97,6 @@
         mPlacement = placement;
         mLevels = levels;
         mCalls = calls;
-        mBudget = budget;
         mEvents = events;
         mBelow = below;
         mMetrics = metrics;
@@ -165,7 +160,6 @@
         WorkClass workClass =
                 parent.map(p -> p.chain().workClass()).orElseGet(() -> workClass(route));
         ChainKey chain = new ChainKey(service, route.name(), Owner.PARTNER, workClass);
-        mBudget.requested(service);
         double order = parent.map(CallSource::order).orElseGet(() -> order(id));
         double fraction = parent.map(CallSource::fraction).orElse(1.0);
         if (!call) {
@@ -192,6 +186,7 @@
                         fraction,
                         call,
                         parent.map(CallSource::repeat).orElse(false),
+                        false,
                         route.idempotent(),
                         mSettings.ownService());
         mOpen++;
@@ -278,10 +273,6 @@
         return mPlacement;
     }
 
-    RetryBudget budget() {
-        return mBudget;
-    }
-
     RelayMetrics metrics() {
         return mMetrics;
     }
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
@@ -31,9 +31,6 @@
     /** Nodes that are asked in turn for a request that none of them has run. */
     private static final int MAX_PLACES = 4;
 
-    /** Part of the retry budget that is kept for more important work, by class. */
-    private static final double[] RESERVES = {0, 0.1, 0.5};
-
     private static final Duration COME_BACK = Duration.ofSeconds(1);
 
     /** The node beside the server answers first; this is the answer's way back. */
@@ -130,7 +127,7 @@
         }
         boolean mayRepeat = mRoute.idempotent() || !mMayHaveRun;
         boolean attemptsLeft = mRuns < mRoute.maxAttempts() && mPlaces < MAX_PLACES;
-        if (mayRepeat && attemptsLeft && isTimeLeft() && takeRetry(load)) {
+        if (mayRepeat && attemptsLeft && isTimeLeft()) {
             mEntry.metrics().retried(mSpec.workClass());
             record(EventType.RETRY_STARTED, Map.of("after", describe(result)));
             mSpec = mSpec.repeated();
@@ -140,11 +137,6 @@
         giveUp(result);
     }
 
-    private boolean takeRetry(LoadReport load) {
-        double reserve = RESERVES[mSpec.workClass().ordinal()];
-        return mEntry.budget().tryRetry(mSpec.service(), 1 + load.calls(), reserve);
-    }
-
     private boolean isTimeLeft() {
         return mSpec.deadlineNanos() - mEntry.time().nanos() > LATE_NANOS;
     }
@@ -236,6 +228,9 @@
             return a.notRun() ? AttemptResult.REFUSED : AttemptResult.ANSWERED;
         }
         if (result instanceof CallResult.NotRun n) {
+            if (n.reason().equals(Owner.RETRY_BUDGET)) {
+                return AttemptResult.CANCELLED;
+            }
             if (n.reason().equals(Owner.SERVER_LEAVING) || n.reason().equals(Owner.STOPPING)) {
                 return AttemptResult.DRAINING;
             }
--- a/relay/src/main/java/io/azurestage/relay/link/Messages.java
+++ b/relay/src/main/java/io/azurestage/relay/link/Messages.java
@@ -43,6 +43,7 @@
                         .setFraction(s.fraction())
                         .setInProgress(s.inProgress())
                         .setRepeat(s.repeat())
+                        .setRetry(s.retry())
                         .setIdempotent(s.idempotent())
                         .setCallerService(s.callerService());
         b.addFields(HttpField.newBuilder().setName(HOST).setValue(s.host()));
@@ -76,6 +77,7 @@
                 m.getFraction(),
                 m.getInProgress(),
                 m.getRepeat(),
+                m.getRetry(),
                 m.getIdempotent(),
                 m.getCallerService());
     }
--- a/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
@@ -111,6 +111,7 @@
         mStarted = mOwner.time().nanos();
         mOwner.metrics().waited(mSpec.workClass(), Duration.ofNanos(mStarted - mOffered));
         mOwner.calls().started(mSource);
+        mOwner.sent(mSpec);
         long left = mSpec.deadlineNanos() - mStarted;
         mRunning = mPool.send(request(Duration.ofNanos(left)), this::ended);
     }
--- a/relay/src/main/java/io/azurestage/relay/owner/Owner.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/Owner.java
@@ -12,6 +12,7 @@
 import io.azurestage.core.calls.CallerShares;
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
+import io.azurestage.core.retry.RetryBudget;
 import io.azurestage.core.time.TimeSource;
 import io.azurestage.mesh.Address;
 import io.azurestage.relay.HeaderNames;
@@ -45,6 +46,9 @@
     /** Reason of a refusal: the server is about to leave. */
     public static final String SERVER_LEAVING = "server-leaving";
 
+    /** Reason of a refusal: the server has had as many retries as it may get. */
+    public static final String RETRY_BUDGET = "retry-budget";
+
     /** Reason of a refusal: this node is about to stop. */
     public static final String STOPPING = "node-stopping";
 
@@ -58,6 +62,10 @@
     private static final int FAST_TICK_MILLIS = 10;
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+    /** Part of the retry budget that is kept for more important work, by class. */
+    private static final double[] RESERVES = {0, 0.1, 0.5};
+
     private static final Duration COME_BACK = Duration.ofMillis(500);
 
     private final EventLoop mLoop;
@@ -70,6 +78,7 @@
     private final Supplier<Map<String, Integer>> mNodesByService;
     private final Consumer<String> mCalledByServers;
     private final RelayMetrics mMetrics;
+    private final RetryBudget mBudget;
     private final CallerShares mCallers = new CallerShares();
     private final Map<ChainKey, Double> mBelow = new HashMap<>();
     private BackendServer mServer;
@@ -91,6 +100,7 @@
      * @param nodesByService number of known nodes by service
      * @param calledByServers hears of each operation that servers call, again and again
      * @param metrics counts refusals and waits
+     * @param budget this node's part of the retries that its server's service may get
      */
     public Owner(
             EventLoop loop,
@@ -102,7 +112,8 @@
             EventLog events,
             Supplier<Map<String, Integer>> nodesByService,
             Consumer<String> calledByServers,
-            RelayMetrics metrics) {
+            RelayMetrics metrics,
+            RetryBudget budget) {
         mLoop = loop;
         mTime = time;
         mTracker = tracker;
@@ -113,6 +124,7 @@
         mNodesByService = nodesByService;
         mCalledByServers = calledByServers;
         mMetrics = metrics;
+        mBudget = budget;
     }
 
     /** Takes over the server that the tracker shows, after it has changed. */
@@ -149,6 +161,9 @@
             mAdmission.tick();
             tickIfPressed();
         }
+        if (mServer != null) {
+            mBudget.share(mNodesByService.get().getOrDefault(mServer.service(), 1));
+        }
     }
 
     private void tickIfPressed() {
@@ -182,7 +197,9 @@
                     spec.requestId(),
                     "",
                     Map.of("reason", unfit.get(), "service", spec.service()));
-            listener.done(new CallResult.NotRun(unfit.get(), COME_BACK, true), LoadReport.NONE);
+            boolean elsewhere = !unfit.get().equals(RETRY_BUDGET);
+            listener.done(
+                    new CallResult.NotRun(unfit.get(), COME_BACK, elsewhere), LoadReport.NONE);
             return () -> {};
         }
         mCallers.count(spec.operation(), spec.callerService());
@@ -199,7 +216,24 @@
         if (mServer == null || !mServer.service().equals(spec.service())) {
             return Optional.of("no-server-of-this-service");
         }
-        return mTracker.mayStart() ? Optional.empty() : Optional.of(SERVER_LEAVING);
+        if (!mTracker.mayStart()) {
+            return Optional.of(SERVER_LEAVING);
+        }
+        return isOverBudget(spec) ? Optional.of(RETRY_BUDGET) : Optional.empty();
+    }
+
+    private boolean isOverBudget(CallSpec spec) {
+        double reserve = RESERVES[spec.workClass().ordinal()];
+        return spec.retry() && !mBudget.tryRetry(spec.service(), reserve);
+    }
+
+    /** Calls of a request that runs again count as retries, too, but are never refused for it. */
+    void sent(CallSpec spec) {
+        if (!spec.repeat()) {
+            mBudget.requested(spec.service());
+        } else if (!spec.retry()) {
+            mBudget.charge(spec.service());
+        }
     }
 
     boolean mayStart(BackendServer server) {
--- a/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
@@ -99,6 +99,7 @@
                 false,
                 false,
                 false,
+                false,
                 "caller");
     }
 
