Bound bytes that are no answer, and never take a success without an id

Cause: a server in trouble may send without end. Informational answers, blank lines and copies of other answers had no bound but the request's deadline, and bodies of many answers together filled the heap: 50 endless bodies at once held 50 times up to 32 MiB. A success without the request's id counted as the answer to whatever was waiting; bytes behind an answer stayed in the decoder for the next request.

- ByteGuard before the decoder: at most 1 MiB before the wanted answer's head, and any byte on a connection without a request closes it.
- AnswerDecoder tells of leftover bytes; such a connection is not used again.
- A 2xx without the id is skipped; refusals may come without one.

--- a/bench/src/main/java/io/azurestage/bench/cost/Cost.java
+++ b/bench/src/main/java/io/azurestage/bench/cost/Cost.java
@@ -167,7 +167,7 @@
                 body.getBytes(StandardCharsets.UTF_8),
                 Duration.ofSeconds(1),
                 false,
-                answer -> true);
+                (status, answer) -> true);
     }
 
     private void awaitService(CostLoad load) {
--- a/bench/src/main/java/io/azurestage/bench/cost/CostLoad.java
+++ b/bench/src/main/java/io/azurestage/bench/cost/CostLoad.java
@@ -37,7 +37,7 @@
     static OutboundRequest request(
             String host, String target, List<Field> fields, Duration timeout) {
         return new OutboundRequest(
-                "GET", target, host, fields, new byte[0], timeout, false, answer -> true);
+                "GET", target, host, fields, new byte[0], timeout, false, (status, answer) -> true);
     }
 
     /** Sends for a while; answers may still be missing when this returns. */
--- a/relay/src/main/java/io/azurestage/relay/http/HttpPool.java
+++ b/relay/src/main/java/io/azurestage/relay/http/HttpPool.java
@@ -7,8 +7,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -24,8 +22,6 @@
  * loop, and results arrive there.
  */
 public final class HttpPool {
-    private static final int MAX_HEAD_BYTES = 64 << 10;
-
     /** How often idle connections are looked through for those that are about to be closed. */
     private static final long EXPIRY_MILLIS = 300;
 
@@ -34,6 +30,7 @@
     private final InetSocketAddress mAddress;
     private final Bootstrap mBootstrap;
     private final Deque<OutboundConnection> mIdle = new ArrayDeque<>();
+    private final HeldBytes mHeld = new HeldBytes();
     private final Set<Channel> mOpen = new HashSet<>();
     private boolean mClosed;
     private boolean mExpiring;
@@ -86,6 +83,10 @@
         Set.copyOf(mOpen).forEach(Channel::close);
     }
 
+    long heldBytes() {
+        return mHeld.sum();
+    }
+
     private OutboundConnection takeIdle(boolean freshOnly) {
         long now = mTime.nanos();
         Iterator<OutboundConnection> newestFirst = mIdle.descendingIterator();
@@ -103,7 +104,7 @@
     }
 
     private void connect(OutboundCall call) {
-        OutboundConnection connection = new OutboundConnection(this::idle);
+        OutboundConnection connection = new OutboundConnection(this::idle, mHeld);
         Bootstrap b =
                 mBootstrap
                         .clone()
@@ -111,7 +112,7 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel ch) {
-                                        ch.pipeline().addLast(codec()).addLast(connection);
+                                        connection.addTo(ch.pipeline());
                                     }
                                 });
         ChannelFuture connecting = b.connect(mAddress);
@@ -160,12 +161,4 @@
             mLoop.schedule(this::expire, EXPIRY_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
-
-    private static HttpClientCodec codec() {
-        HttpDecoderConfig config =
-                new HttpDecoderConfig()
-                        .setMaxInitialLineLength(MAX_HEAD_BYTES)
-                        .setMaxHeaderSize(MAX_HEAD_BYTES);
-        return new HttpClientCodec(config, false, false);
-    }
 }
--- a/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
+++ b/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
@@ -1,13 +1,16 @@
 package io.azurestage.relay.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -34,19 +37,40 @@
     /** Largest answer that is held in memory. */
     private static final int MAX_BODY_BYTES = 32 << 20;
 
+    /** Largest answer that is not counted among the bytes that a pool holds. */
+    private static final int SMALL_BODY_BYTES = 16 << 10;
+
+    /**
+     * Bytes that may come before the head of the wanted answer ends: informational answers, late
+     * copies of answers to earlier requests, and the head itself.
+     */
+    private static final int MAX_BYTES_BEFORE = 1 << 20;
+
     private final Consumer<OutboundConnection> mWhenIdle;
+    private final HeldBytes mHeld;
+    private final AnswerDecoder mDecoder = new AnswerDecoder();
     private ChannelHandlerContext mContext;
     private OutboundCall mCall;
     private HttpResponse mHead;
     private List<Field> mFields = List.of();
     private ByteArrayOutputStream mBody;
+    private HeldBytes.Part mPart;
+    private int mBytesBefore;
     private boolean mSkip;
     private boolean mFailed;
     private long mIdleLimit = DEFAULT_IDLE_NANOS;
     private long mIdleSince;
 
-    OutboundConnection(Consumer<OutboundConnection> whenIdle) {
+    OutboundConnection(Consumer<OutboundConnection> whenIdle, HeldBytes held) {
         mWhenIdle = whenIdle;
+        mHeld = held;
+    }
+
+    void addTo(ChannelPipeline pipeline) {
+        pipeline.addLast(new ByteGuard())
+                .addLast(mDecoder)
+                .addLast(new HttpRequestEncoder())
+                .addLast(this);
     }
 
     @Override
@@ -86,8 +110,10 @@
 
     void start(OutboundCall call) {
         mCall = call;
+        mBytesBefore = 0;
         call.sentOn(mContext.channel());
         OutboundRequest r = call.request();
+        mDecoder.expect(r.method());
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -133,7 +159,7 @@
         mHead = r;
         mFields = Fields.endToEnd(r.headers());
         mBody = new ByteArrayOutputStream();
-        mSkip = !mCall.request().belongs().test(mFields);
+        mSkip = !mCall.request().belongs().test(r.status().code(), mFields);
     }
 
     private void content(HttpContent c) {
@@ -141,18 +167,44 @@
             fail("the answer's body is not framed correctly");
             return;
         }
-        if (mBody.size() + c.content().readableBytes() > MAX_BODY_BYTES) {
-            fail("the answer is larger than " + MAX_BODY_BYTES + " bytes");
+        if (!mSkip && !keep(c.content())) {
             return;
         }
+        // A reset makes the decoder end an answer of unknown length as if it were complete.
+        if (c instanceof LastHttpContent && !mFailed) {
+            complete();
+        }
+    }
+
+    private boolean keep(ByteBuf bytes) {
+        int n = bytes.readableBytes();
+        int size = mBody.size() + n;
+        if (size > MAX_BODY_BYTES) {
+            fail("the answer is larger than " + MAX_BODY_BYTES + " bytes");
+            return false;
+        }
+        if (mPart != null) {
+            mHeld.add(mPart, n);
+        } else if (size > SMALL_BODY_BYTES) {
+            mPart = mHeld.open(() -> fail("too many bytes of unfinished answers are held"));
+            mHeld.add(mPart, size);
+        }
+        if (mFailed) {
+            return false;
+        }
         try {
-            c.content().readBytes(mBody, c.content().readableBytes());
+            bytes.readBytes(mBody, n);
         } catch (IOException e) {
             throw new IllegalStateException("a stream in memory cannot fail", e);
         }
-        // A reset makes the decoder end an answer of unknown length as if it were complete.
-        if (c instanceof LastHttpContent && !mFailed) {
-            complete();
+        return true;
+    }
+
+    private void release() {
+        mBody = null;
+        if (mPart != null) {
+            mHeld.close(mPart);
+            mPart = null;
         }
     }
 
@@ -160,7 +212,7 @@
         HttpResponse head = mHead;
         mHead = null;
         if (mSkip) {
-            mBody = null;
+            release();
             if (!HttpUtil.isKeepAlive(head)) {
                 fail("the server closes after an answer to another request");
             }
@@ -168,10 +220,10 @@
         }
         OutboundCall call = mCall;
         mCall = null;
-        boolean stays = HttpUtil.isKeepAlive(head) && hasLength(head);
+        boolean stays = HttpUtil.isKeepAlive(head) && hasLength(head) && !mDecoder.hasLeftover();
         readIdleLimit(head);
         byte[] body = mBody.toByteArray();
-        mBody = null;
+        release();
         if (stays && isOpen()) {
             mWhenIdle.accept(this);
         } else {
@@ -220,9 +272,32 @@
         OutboundCall call = mCall;
         mCall = null;
         mHead = null;
+        release();
         if (call != null) {
             call.lost(reason);
         }
         mContext.close();
     }
+
+    /** Sees the bytes themselves, also those that the decoder skips or takes for part of a head. */
+    private final class ByteGuard extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            int n = ((ByteBuf) message).readableBytes();
+            if (mCall == null || mFailed) {
+                ReferenceCountUtil.release(message);
+                ctx.close();
+                return;
+            }
+            if (mHead == null || mSkip) {
+                mBytesBefore += n;
+            }
+            if (mBytesBefore > MAX_BYTES_BEFORE) {
+                ReferenceCountUtil.release(message);
+                fail("more than " + MAX_BYTES_BEFORE + " bytes came before the answer");
+                return;
+            }
+            ctx.fireChannelRead(message);
+        }
+    }
 }
--- a/relay/src/main/java/io/azurestage/relay/http/OutboundRequest.java
+++ b/relay/src/main/java/io/azurestage/relay/http/OutboundRequest.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.function.Predicate;
+import java.util.function.BiPredicate;
 
 /**
  * A request to a server.
@@ -15,7 +15,8 @@
  * @param timeout longest wait for the whole answer
  * @param freshOnly whether a connection that has been idle for long must not be used, because the
  *     server may just be closing it and the request may not be sent twice
- * @param belongs whether an answer's header belongs to this request; other answers are skipped
+ * @param belongs whether an answer with this status and these fields belongs to this request; other
+ *     answers are skipped
  */
 public record OutboundRequest(
         String method,
@@ -25,4 +26,4 @@
         byte[] body,
         Duration timeout,
         boolean freshOnly,
-        Predicate<List<Field>> belongs) {}
+        BiPredicate<Integer, List<Field>> belongs) {}
--- a/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
@@ -151,10 +151,15 @@
                 this::belongs);
     }
 
-    private boolean belongs(List<Field> answer) {
+    /** Servers repeat the id, but may leave it out where they refuse to run a request. */
+    private boolean belongs(int status, List<Field> answer) {
         return Fields.first(answer, mOwner.names().requestId())
                 .map(id -> id.equals(mSpec.requestId()))
-                .orElse(true);
+                .orElse(!isSuccess(status));
+    }
+
+    private static boolean isSuccess(int status) {
+        return status >= OK_FROM && status <= OK_TO;
     }
 
     private void ended(OutboundResult result) {
@@ -183,8 +188,7 @@
             return;
         }
         boolean signed = Fields.first(a.fields(), mOwner.names().signature()).isPresent();
-        boolean ok = a.status() >= OK_FROM && a.status() <= OK_TO;
-        if (ok && !signed) {
+        if (isSuccess(a.status()) && !signed) {
             release(Completion.Outcome.FAILED);
             finish(new CallResult.MaybeRun("the answer bears no signature of the server"));
             return;
--- a/relay/src/test/java/io/azurestage/relay/RelayTest.java
+++ b/relay/src/test/java/io/azurestage/relay/RelayTest.java
@@ -43,6 +43,9 @@
                     "HTTP/1.1 200 OK\r\nId: other\r\nSigned: s\r\n"
                             + "Content-Length: 5\r\n\r\nwrong");
 
+    private static final byte[] WITHOUT_ID =
+            RawServer.text("HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 5\r\n\r\nwrong");
+
     private final Loop mLoop = new Loop();
     private final MapStore mStore = new MapStore();
     private final List<AutoCloseable> mOpen = new ArrayList<>();
@@ -185,6 +188,17 @@
 
     @Nested
     class Passing {
+        @Test
+        void successWithoutAnIdBelongsToNoRequest() throws Exception {
+            InetSocketAddress entry =
+                    scene(
+                            (r, s) -> {
+                                s.getOutputStream().write(WITHOUT_ID);
+                                s.getOutputStream().write(RawServer.ok(r, "whole"));
+                            });
+            assertThat(raw(entry, "GET", "/r/a", "").body()).isEqualTo("whole");
+        }
+
         @Test
         void requestAndAnswerPassUnchanged() throws Exception {
             InetSocketAddress entry =
--- a/relay/src/test/java/io/azurestage/relay/http/HttpPoolTest.java
+++ b/relay/src/test/java/io/azurestage/relay/http/HttpPoolTest.java
@@ -10,9 +10,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 
 class HttpPoolTest {
@@ -37,19 +39,21 @@
                         Duration.ofSeconds(1));
     }
 
+    private static OutboundRequest request(String target, Duration timeout) {
+        return new OutboundRequest(
+                "GET",
+                target,
+                "h",
+                List.of(new Field("Id", "one")),
+                new byte[0],
+                timeout,
+                false,
+                (status, fields) -> Fields.first(fields, "Id").equals(Optional.of("one")));
+    }
+
     private OutboundResult send(Duration timeout) throws Exception {
-        OutboundRequest r =
-                new OutboundRequest(
-                        "GET",
-                        "/",
-                        "h",
-                        List.of(new Field("Id", "one")),
-                        new byte[0],
-                        timeout,
-                        false,
-                        fields -> Fields.first(fields, "Id").equals(Optional.of("one")));
         mResult.set(null);
-        mLoop.run(() -> mPool.send(r, mResult::set));
+        mLoop.run(() -> mPool.send(request("/", timeout), mResult::set));
         Loop.await("a result", () -> mResult.get() != null);
         return mResult.get();
     }
@@ -73,4 +77,165 @@
             Loop.await("the close of the only connection", () -> mServer.closed() == 1);
         }
     }
+
+    @Nested
+    class BrokenOff {
+        private void breaksOff(boolean reset) throws Exception {
+            serve(
+                    (r, s) -> {
+                        s.getOutputStream()
+                                .write(
+                                        RawServer.text(
+                                                "HTTP/1.1 200 OK\r\nId: one\r\n\r\nhalf of it"));
+                        s.getOutputStream().flush();
+                        if (reset) {
+                            s.setSoLinger(true, 0);
+                        }
+                        s.close();
+                    });
+        }
+
+        @Test
+        void answerWithoutLengthEndsWithItsConnection() throws Exception {
+            breaksOff(false);
+            assertThat(send(Duration.ofSeconds(5))).isInstanceOf(OutboundResult.Answered.class);
+        }
+
+        @RepeatedTest(20)
+        void answerWithoutLengthThatIsResetIsLost() throws Exception {
+            breaksOff(true);
+            assertThat(send(Duration.ofSeconds(5))).isInstanceOf(OutboundResult.Lost.class);
+        }
+    }
+
+    @Nested
+    class Endless {
+        private static final Duration PATIENCE = Duration.ofSeconds(60);
+
+        /** Writes a start and then the same bytes until the other side closes. */
+        private void without(String start, String again) throws Exception {
+            byte[] more = RawServer.text(again.repeat(1 + 4_096 / again.length()));
+            serve(
+                    (r, s) -> {
+                        s.getOutputStream().write(RawServer.text(start));
+                        while (true) {
+                            s.getOutputStream().write(more);
+                        }
+                    });
+        }
+
+        private void isLostAndClosed() throws Exception {
+            assertThat(send(PATIENCE)).isInstanceOf(OutboundResult.Lost.class);
+            Loop.await("the close", () -> mServer.closed() == 1);
+        }
+
+        @Test
+        void informationalAnswers() throws Exception {
+            without("", "HTTP/1.1 100 Continue\r\n\r\n");
+            isLostAndClosed();
+        }
+
+        @Test
+        void blankLinesBeforeAnAnswer() throws Exception {
+            without("", "\r\n");
+            isLostAndClosed();
+        }
+
+        @Test
+        void firstLine() throws Exception {
+            without("HTTP/1.1 200 ", "O");
+            isLostAndClosed();
+        }
+
+        @Test
+        void headerFields() throws Exception {
+            without("HTTP/1.1 200 OK\r\n", "A: b\r\n");
+            isLostAndClosed();
+        }
+
+        @Test
+        void answersOfOthers() throws Exception {
+            without("", "HTTP/1.1 200 OK\r\nId: two\r\nContent-Length: 3\r\n\r\nnot");
+            isLostAndClosed();
+        }
+
+        @Test
+        void bodyOfAnAnswerOfAnother() throws Exception {
+            without("HTTP/1.1 200 OK\r\nId: two\r\n\r\n", "never");
+            isLostAndClosed();
+        }
+
+        @Test
+        void body() throws Exception {
+            without("HTTP/1.1 200 OK\r\nId: one\r\n\r\n", "never");
+            isLostAndClosed();
+        }
+
+        @Test
+        void bytesThatAreNoAnswer() throws Exception {
+            without("", "?");
+            isLostAndClosed();
+        }
+
+        @Test
+        void bodiesTogetherStayInBoundsAndOthersAreServed() throws Exception {
+            byte[] more = new byte[64 << 10];
+            serve(
+                    (r, s) -> {
+                        if (r.line().contains("/endless")) {
+                            s.getOutputStream()
+                                    .write(RawServer.text("HTTP/1.1 200 OK\r\nId: one\r\n\r\n"));
+                            while (true) {
+                                s.getOutputStream().write(more);
+                            }
+                        }
+                        s.getOutputStream()
+                                .write(
+                                        RawServer.text(
+                                                "HTTP/1.1 200 OK\r\nId: one\r\n"
+                                                        + "Content-Length: 5\r\n\r\nwhole"));
+                    });
+            int endless = 50;
+            List<OutboundResult> lost = new CopyOnWriteArrayList<>();
+            mLoop.run(
+                    () -> {
+                        for (int i = 0; i < endless; i++) {
+                            mPool.send(request("/endless", PATIENCE), lost::add);
+                        }
+                    });
+            long most = 0;
+            while (lost.size() < endless) {
+                assertThat(send(PATIENCE)).isInstanceOf(OutboundResult.Answered.class);
+                most = Math.max(most, mLoop.call(mPool::heldBytes));
+            }
+            assertThat(most).isBetween(1L, (long) HeldBytes.MAX);
+            assertThat(lost).allMatch(r -> r instanceof OutboundResult.Lost);
+            Loop.await("the release", () -> held() == 0);
+        }
+
+        private long held() {
+            try {
+                return mLoop.call(mPool::heldBytes);
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
+    @Nested
+    class BetweenAnswers {
+        @Test
+        void connectionThatReceivesBytesWithoutARequestIsClosed() throws Exception {
+            serve(
+                    (r, s) ->
+                            s.getOutputStream()
+                                    .write(
+                                            RawServer.text(
+                                                    "HTTP/1.1 200 OK\r\nId: one\r\n"
+                                                            + "Keep-Alive: timeout=60\r\n"
+                                                            + "Content-Length: 0\r\n\r\nHTTP/1.1 2")));
+            send(Duration.ofSeconds(5));
+            Loop.await("the close", () -> mServer.closed() == 1);
+        }
+    }
 }
