--- a/relay/src/main/java/io/azurestage/relay/fleet/Announcer.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/Announcer.java
@@ -33,8 +33,11 @@
     private byte[] mWanted;
     private byte[] mWritten;
     private long mLease;
-    private long mRevision;
-    private boolean mKnowsRevision;
+    private long mRevision = PlatformStore.ABSENT;
+
+    /** A new process assumes that there is no entry; if there is one, the first write tells. */
+    private boolean mKnowsRevision = true;
+
     private boolean mBusy;
     private long mNotBefore;
     private long mRenewed;
@@ -81,7 +84,7 @@
     /** Takes note that the entry has disappeared from the store. */
     public void disappeared() {
         mWritten = null;
-        mKnowsRevision = false;
+        mRevision = PlatformStore.ABSENT;
         mRenewed = 0;
         step();
     }
--- a/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
@@ -37,6 +37,7 @@
     private final EventLog mEvents;
     private final Map<String, LinkClient> mLinks = new HashMap<>();
     private Map<String, Integer> mNodesByService = Map.of();
+    private boolean mChanged;
 
     /**
      * Creates an empty directory.
@@ -71,6 +72,7 @@
 
     @Override
     public Optional<Place> choose(String service, Set<NodeIdentity> exclude) {
+        refresh();
         Optional<Pick> pick = mRouter.pick(service, exclude);
         return pick.map(p -> new Place(p, target(p.endpoint().address())));
     }
@@ -92,13 +94,13 @@
         if (!keys.contains(mOwnKey)) {
             mOwnMissing.run();
         }
-        update();
+        mChanged = true;
     }
 
     @Override
     public void put(Versioned value) {
         take(value);
-        update();
+        mChanged = true;
     }
 
     @Override
@@ -107,7 +109,7 @@
         if (key.equals(mOwnKey)) {
             mOwnMissing.run();
         }
-        update();
+        mChanged = true;
     }
 
     /** Drops entries that have stayed away, and closes links that lead nowhere. */
@@ -116,8 +118,9 @@
             mEvents.record(
                     EventType.MEMBER_DEAD,
                     Map.of("node", e.node().nodeId(), "server", e.server().serverId()));
-            update();
+            mChanged = true;
         }
+        refresh();
         mLinks.values().forEach(LinkClient::tick);
     }
 
@@ -136,6 +139,7 @@
      * @return an immutable map
      */
     public Map<String, Integer> nodesByService() {
+        refresh();
         return mNodesByService;
     }
 
@@ -158,6 +162,14 @@
         }
     }
 
+    /** Changes often come many at a time, and only the last state of all of them is needed. */
+    private void refresh() {
+        if (mChanged) {
+            mChanged = false;
+            update();
+        }
+    }
+
     private void update() {
         List<ServerEntry> entries = mTable.entries();
         Map<String, Integer> nodes = new HashMap<>();
