Use a node that restarts after its clock was set back

Cause: an incarnation is numbered by the time of day, and the router takes the highest number of a node for the newest. Ruled out: links, which compare incarnations for equality only.

An endpoint on a platform now has a new id for each incarnation; the store's one entry a node says which is current.

--- a/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
@@ -27,6 +27,9 @@
  * event loop only.
  */
 public final class FleetDirectory implements Placement, PrefixFeed.Listener {
+    /** Endpoints have a new id for each incarnation. */
+    private static final long ONLY_INCARNATION = 0;
+
     private final EntryTable mTable;
     private final Router mRouter;
     private final Function<String, LinkClient> mNewLink;
@@ -194,17 +197,23 @@
                         });
     }
 
-    /** A server that replaces another one beside the same node is a new endpoint. */
+    /**
+     * A server that replaces another one beside the same node is a new endpoint, and so is a node
+     * that has restarted. The store holds one entry a node, so which of two is newer needs no
+     * comparison of their numbers, which are times of day.
+     */
     private static Endpoint endpoint(ServerEntry e) {
         String id =
                 e.node().nodeId()
+                        + "/"
+                        + e.node().incarnation()
                         + "/"
                         + e.server().serverId()
                         + "/"
                         + e.server().startedAtMillis();
         boolean ready = e.server().state() == BackendState.READY;
         return new Endpoint(
-                new NodeIdentity(id, e.node().incarnation()),
+                new NodeIdentity(id, ONLY_INCARNATION),
                 e.server().service(),
                 e.linkAddress(),
                 e.dataCentre(),
--- /dev/null
+++ b/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
@@ -0,0 +1,92 @@
+package io.azurestage.relay.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.core.backend.BackendServer;
+import io.azurestage.core.backend.BackendState;
+import io.azurestage.core.backend.EntryTable;
+import io.azurestage.core.backend.ServerEntry;
+import io.azurestage.core.context.NodeIdentity;
+import io.azurestage.core.event.EventLog;
+import io.azurestage.core.routing.Router;
+import io.azurestage.core.time.HybridClock;
+import io.azurestage.core.time.ManualTimeSource;
+import io.azurestage.relay.call.CallTarget;
+import io.azurestage.store.Versioned;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class FleetDirectoryTest {
+    private static final String KEY = "nodes/own";
+    private static final String LINK = "10.0.0.1:7000";
+
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final CallTarget mTarget = (spec, listener) -> () -> {};
+    private final AtomicInteger mMissing = new AtomicInteger();
+    private final FleetDirectory mDirectory =
+            new FleetDirectory(
+                    new EntryTable(mTime, Duration.ofSeconds(2)),
+                    new Router("dc", "r", mTime, new Random(1)),
+                    address -> {
+                        throw new AssertionError("no link is needed");
+                    },
+                    KEY,
+                    LINK,
+                    mTarget,
+                    mMissing::incrementAndGet,
+                    new EventLog("n", new HybridClock(mTime), 10, e -> {}));
+
+    private static Versioned entry(long incarnation, long serverStarted, BackendState state) {
+        ServerEntry e =
+                new ServerEntry(
+                        new NodeIdentity("n", incarnation),
+                        LINK,
+                        "dc",
+                        "r",
+                        new BackendServer("s", serverStarted, "books", "10.0.0.1:80", 15, state));
+        return new Versioned(KEY, EntryCodec.encode(e), 1);
+    }
+
+    private boolean isChosen() {
+        return mDirectory.choose("books", Set.of()).isPresent();
+    }
+
+    @Nested
+    class Restarts {
+        /** The number of an incarnation is a time of day, which may have been set back. */
+        @Test
+        void nodeThatRestartsAfterItsClockWasSetBackIsUsed() {
+            mDirectory.listed(List.of(entry(9_000, 5, BackendState.READY)));
+            assertThat(isChosen()).isTrue();
+            mDirectory.put(entry(2_000, 5, BackendState.READY));
+            assertThat(isChosen()).isTrue();
+        }
+
+        @Test
+        void serverThatHasLeftIsNotUsed() {
+            mDirectory.listed(List.of(entry(9_000, 5, BackendState.READY)));
+            mDirectory.put(entry(9_000, 5, BackendState.GONE));
+            assertThat(isChosen()).isFalse();
+        }
+    }
+
+    @Nested
+    class Changes {
+        @Test
+        void entryThatDisappearsStaysForAWhileAndIsToldOnce() {
+            mDirectory.listed(List.of(entry(9_000, 5, BackendState.READY)));
+            mDirectory.removed(KEY);
+            assertThat(mMissing.get()).isEqualTo(1);
+            assertThat(isChosen()).isTrue();
+            mTime.advance(Duration.ofSeconds(3));
+            mDirectory.tick();
+            assertThat(isChosen()).isFalse();
+            assertThat(mDirectory.nodesByService()).isEmpty();
+        }
+    }
+}
