Keep a node's periodic duties running when a call is placed anew in a tick

Probable cause of the open findings of LOST at stops: a call that waited for a link and failed in FleetDirectory.tick was placed at another node, which opened a link while the links were looked through: ConcurrentModificationException, and the event loop silently drops a periodic task that fails once.

Ruled out: connections accepted late, since new ones came until the very end.

- Links are looked through in a copy.
- Each duty of a tick runs by itself; a failure is logged and the next tick comes.

--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -1,5 +1,6 @@
 package io.azurestage.relay;
 
+import com.google.common.flogger.FluentLogger;
 import io.azurestage.core.admission.ChainLevels;
 import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.backend.BackendState;
@@ -37,10 +38,12 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 /**
  * A node on a platform: entry for the callers on its VM, owner of the backend server beside it, and
@@ -83,6 +86,18 @@
     /** Servers of the users' services are slow for three seconds after their start. */
     private static final Duration WARM_UP = Duration.ofSeconds(3);
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** What is due in each tick; none of them may keep the others from running. */
+    private static final List<Consumer<Relay>> TICK_DUTIES =
+            List.of(
+                    Relay::trackServer,
+                    r -> r.mOwner.tick(),
+                    r -> r.mDirectory.tick(),
+                    r -> r.mLinks.tick(),
+                    r -> r.mAnnouncer.tick(),
+                    Relay::finishStopping);
+
     private static final RoutingSettings ROUTING =
             new RoutingSettings(CROSSING_COST, REGION_COST, WARM_UP);
 
@@ -268,16 +283,23 @@
     }
 
     private void tick() {
+        TICK_DUTIES.forEach(this::run);
+    }
+
+    /** The event loop would silently drop a periodic task that fails once. */
+    private void run(Consumer<Relay> duty) {
+        try {
+            duty.accept(this);
+        } catch (RuntimeException e) {
+            LOGGER.atSevere().withCause(e).atMostEvery(1, TimeUnit.SECONDS).log(
+                    "a periodic duty failed; it runs again in %d ms", TICK_MILLIS);
+        }
+    }
+
+    private void trackServer() {
         if (mTracker.tick()) {
             serverChanged();
         }
-        mOwner.tick();
-        mDirectory.tick();
-        mLinks.tick();
-        mAnnouncer.tick();
-        if (mStopping) {
-            finishStopping();
-        }
     }
 
     /**
@@ -393,6 +415,9 @@
      * is closed. From then on a request is not read, so its caller may send it again elsewhere.
      */
     private void finishStopping() {
+        if (!mStopping) {
+            return;
+        }
         long since = mTime.nanos() - mStopStarted;
         long stopNanos = mSettings.stopTime().toNanos();
         if (!mClosed && since >= (long) (stopNanos * CLOSE_PART)) {
--- a/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
@@ -124,7 +124,8 @@
             mChanged = true;
         }
         refresh();
-        mLinks.values().forEach(LinkClient::tick);
+        // A call that ends here may be placed anew, which may open a link.
+        List.copyOf(mLinks.values()).forEach(LinkClient::tick);
     }
 
     /**
--- a/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.azurestage.config.WorkClass;
 import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.backend.BackendState;
 import io.azurestage.core.backend.EntryTable;
@@ -11,13 +12,21 @@
 import io.azurestage.core.routing.Router;
 import io.azurestage.core.time.HybridClock;
 import io.azurestage.core.time.ManualTimeSource;
+import io.azurestage.mesh.Address;
+import io.azurestage.relay.Loop;
+import io.azurestage.relay.call.CallSpec;
 import io.azurestage.relay.call.CallTarget;
+import io.azurestage.relay.link.LinkClient;
+import io.azurestage.relay.link.LinkSelf;
 import io.azurestage.store.Versioned;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -28,19 +37,66 @@
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final CallTarget mTarget = (spec, listener) -> () -> {};
     private final AtomicInteger mMissing = new AtomicInteger();
+    private final Loop mLoop = new Loop();
     private final FleetDirectory mDirectory =
             new FleetDirectory(
                     new EntryTable(mTime, Duration.ofSeconds(2)),
                     new Router("dc", "r", mTime, new Random(1)),
-                    address -> {
-                        throw new AssertionError("no link is needed");
-                    },
+                    this::link,
                     KEY,
                     LINK,
                     mTarget,
                     mMissing::incrementAndGet,
                     new EventLog("n", new HybridClock(mTime), 10, e -> {}));
 
+    @AfterEach
+    void close() {
+        mLoop.close();
+    }
+
+    private LinkClient link(String address) {
+        LinkSelf self =
+                new LinkSelf(new NodeIdentity("n", 1), () -> 1, () -> 0, Optional::empty, d -> {});
+        return new LinkClient(
+                mLoop.loop(),
+                mTime,
+                Address.parse(address).orElseThrow(),
+                self,
+                (a, up, reason) -> {});
+    }
+
+    private static CallSpec call() {
+        return new CallSpec(
+                "id",
+                "GET",
+                "/",
+                "h",
+                List.of(),
+                new byte[0],
+                Long.MAX_VALUE,
+                "books",
+                "op",
+                WorkClass.NORMAL,
+                0.5,
+                1,
+                false,
+                false,
+                false,
+                true,
+                "caller");
+    }
+
+    private static Versioned entryOf(String node, String link, String service) {
+        ServerEntry e =
+                new ServerEntry(
+                        new NodeIdentity(node, 1),
+                        link,
+                        "dc",
+                        "r",
+                        new BackendServer(node, 1, service, "10.0.0.1:80", 15, BackendState.READY));
+        return new Versioned("nodes/" + node, EntryCodec.encode(e), 1);
+    }
+
     private static Versioned entry(long incarnation, long serverStarted, BackendState state) {
         ServerEntry e =
                 new ServerEntry(
@@ -75,6 +131,37 @@
         }
     }
 
+    @Nested
+    class Links {
+        /** Load pattern: nodes roll under load, so calls that waited for a link are placed anew. */
+        @Test
+        void callThatFailsInATickMayOpenALinkToAnotherNode() throws Exception {
+            try (ServerSocket silent = new ServerSocket(0)) {
+                String first = "127.0.0.1:" + silent.getLocalPort();
+                mDirectory.listed(
+                        List.of(
+                                entryOf("a", first, "books"),
+                                entryOf("b", "127.0.0.1:1", "pages")));
+                AtomicInteger placed = new AtomicInteger();
+                mLoop.run(
+                        () ->
+                                mDirectory
+                                        .choose("books", Set.of())
+                                        .orElseThrow()
+                                        .target()
+                                        .start(
+                                                call(),
+                                                (result, load) -> {
+                                                    mDirectory.choose("pages", Set.of());
+                                                    placed.incrementAndGet();
+                                                }));
+                mTime.advance(Duration.ofSeconds(1));
+                mLoop.run(mDirectory::tick);
+                assertThat(placed.get()).isEqualTo(1);
+            }
+        }
+    }
+
     @Nested
     class Changes {
         @Test
