Back off from a store that refuses calls

Delays now double from 0.1-0.2 s to 1.5 s at most, drawn at random, so that entries are still back within two seconds.

--- a/relay/src/main/java/io/azurestage/relay/fleet/Announcer.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/Announcer.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -23,13 +24,13 @@
     private static final Duration LEASE = Duration.ofSeconds(6);
 
     private static final long RENEW_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-    private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     private final EventLoop mLoop;
     private final TimeSource mTime;
     private final PlatformStore mStore;
     private final String mKey;
     private final EventLog mEvents;
+    private final RetryDelay mDelay = new RetryDelay(new SplittableRandom());
     private byte[] mWanted;
     private byte[] mWritten;
     private long mLease;
@@ -123,6 +124,7 @@
     private void granted(LeaseResult r) {
         mBusy = false;
         if (r instanceof LeaseResult.Held h) {
+            mDelay.reset();
             mLease = h.id();
             mLapsed = false;
             mRenewed = mTime.nanos();
@@ -147,6 +149,7 @@
     private void written(WriteResult r, byte[] value) {
         mBusy = false;
         if (r instanceof WriteResult.Applied a) {
+            mDelay.reset();
             mRevision = a.revision();
             mWritten = value;
             step();
@@ -166,6 +169,7 @@
     private void renewed(LeaseResult r) {
         mBusy = false;
         if (r instanceof LeaseResult.Held) {
+            mDelay.reset();
             mRenewed = mTime.nanos();
         } else if (r instanceof LeaseResult.Lapsed) {
             mEvents.record(EventType.ENTRY_LAPSED, Map.of("key", mKey));
@@ -179,6 +183,6 @@
     }
 
     private void later() {
-        mNotBefore = mTime.nanos() + RETRY_NANOS;
+        mNotBefore = mTime.nanos() + TimeUnit.MILLISECONDS.toNanos(mDelay.next());
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/fleet/PrefixFeed.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/PrefixFeed.java
@@ -9,7 +9,7 @@
 import io.netty.channel.EventLoop;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -17,11 +17,6 @@
  * watch breaks. Used on the event loop only.
  */
 public final class PrefixFeed {
-    private static final long MIN_RETRY_MILLIS = 100;
-
-    /** Nodes that lost the store together spread their first calls over this time. */
-    private static final long RETRY_SPREAD_MILLIS = 300;
-
     /** Receives the state of the keys. */
     public interface Listener {
 
@@ -52,6 +47,7 @@
     private final String mPrefix;
     private final Listener mListener;
     private final EventLog mEvents;
+    private final RetryDelay mDelay = new RetryDelay(new SplittableRandom());
     private AutoCloseable mWatch;
     private boolean mStoreDown;
     private boolean mClosed;
@@ -111,6 +107,7 @@
                 mEvents.record(EventType.STORE_UP, Map.of("prefix", mPrefix));
             }
             mListed = true;
+            mDelay.reset();
             mListener.listed(f.values());
             mWatch = mStore.watch(mPrefix, true, f.revision() + 1, e -> onLoop(e));
         } else if (result instanceof ReadResult.Unavailable u) {
@@ -145,8 +142,7 @@
             mStoreDown = true;
             mEvents.record(EventType.STORE_DOWN, Map.of("prefix", mPrefix, "reason", reason));
         }
-        long millis = MIN_RETRY_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_SPREAD_MILLIS);
-        mLoop.schedule(this::start, millis, TimeUnit.MILLISECONDS);
+        mLoop.schedule(this::start, mDelay.next(), TimeUnit.MILLISECONDS);
     }
 
     private void closeWatch() {
--- a/relay/src/test/java/io/azurestage/relay/http/HttpPoolTest.java
+++ b/relay/src/test/java/io/azurestage/relay/http/HttpPoolTest.java
@@ -233,7 +233,8 @@
                                             RawServer.text(
                                                     "HTTP/1.1 200 OK\r\nId: one\r\n"
                                                             + "Keep-Alive: timeout=60\r\n"
-                                                            + "Content-Length: 0\r\n\r\nHTTP/1.1 2")));
+                                                            + "Content-Length: 0\r\n\r\n"
+                                                            + "HTTP/1.1 2")));
             send(Duration.ofSeconds(5));
             Loop.await("the close", () -> mServer.closed() == 1);
         }
