Remove OutboundConnection.isIdle, which nothing calls any more

Cause: its only caller was the timer for each use of a connection, which one timer for the pool has replaced. No change of behaviour; HttpPoolTest, RelayTest, LinkTest, formatter and linter pass.

--- a/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
+++ b/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
@@ -82,10 +82,6 @@
         return mContext != null && mContext.channel().isActive();
     }
 
-    boolean isIdle() {
-        return mCall == null;
-    }
-
     boolean isFresh(long now) {
         return now - mIdleSince < FRESH_NANOS;
     }
