Cut what a call does at its two nodes

Cause: a profile of bin/bench cost is flat (no function above 3 %), so a call costs what it touches: sorting 64 samples for each decision on a deadline, labels of metrics looked up by name, generated equals and hashCode of records, streams, maps made for each attribution, capturing lambdas, three timers, two encoders, and the levels of all classes put together, sent and learnt with each answer.

--- a/bench/src/main/java/io/azurestage/bench/cost/Cost.java
+++ b/bench/src/main/java/io/azurestage/bench/cost/Cost.java
@@ -99,6 +99,7 @@
         EventLoop loop = (EventLoop) mGroup.next();
         CostLoad load = new CostLoad(loop, first, "h");
         awaitService(load);
+        load.reset();
         Usage start = usage();
         step(load, "cold", WARM_RATE, WARM_UP);
         for (int rate : RATES) {
--- a/bench/src/main/java/io/azurestage/bench/cost/CostLoad.java
+++ b/bench/src/main/java/io/azurestage/bench/cost/CostLoad.java
@@ -54,6 +54,12 @@
         }
     }
 
+    /** Forgets the answers so far: before the service is known, requests are refused. */
+    void reset() {
+        mServed.set(0);
+        mFailed.set(0);
+    }
+
     int served() {
         return mServed.get();
     }
--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -297,7 +297,7 @@
     private Waiting next(long now) {
         int limit = limit();
         int free = limit - mRunning.size();
-        if (free <= 0) {
+        if (free <= 0 || mQueue.size() == 0) {
             return null;
         }
         return mQueue.next((p, c) -> mPartners.mayStart(p, c, free, limit, now), now);
--- a/core/src/main/java/io/azurestage/core/admission/ChainKey.java
+++ b/core/src/main/java/io/azurestage/core/admission/ChainKey.java
@@ -10,4 +10,21 @@
  * @param partner partner that is charged
  * @param workClass class of work
  */
-public record ChainKey(String service, String operation, String partner, WorkClass workClass) {}
+public record ChainKey(String service, String operation, String partner, WorkClass workClass) {
+
+    /** Written out, because generated methods of records are slow where only C1 compiles. */
+    @Override
+    public boolean equals(Object o) {
+        return o instanceof ChainKey k
+                && workClass == k.workClass
+                && operation.equals(k.operation)
+                && service.equals(k.service)
+                && partner.equals(k.partner);
+    }
+
+    @Override
+    public int hashCode() {
+        int hash = 31 * service.hashCode() + operation.hashCode();
+        return 31 * (31 * hash + partner.hashCode()) + workClass.ordinal();
+    }
+}
--- a/core/src/main/java/io/azurestage/core/admission/PartnerClass.java
+++ b/core/src/main/java/io/azurestage/core/admission/PartnerClass.java
@@ -8,4 +8,16 @@
  * @param partner partner
  * @param workClass class of work
  */
-public record PartnerClass(String partner, WorkClass workClass) {}
+public record PartnerClass(String partner, WorkClass workClass) {
+
+    /** Written out, because generated methods of records are slow where only C1 compiles. */
+    @Override
+    public boolean equals(Object o) {
+        return o instanceof PartnerClass k && workClass == k.workClass && partner.equals(k.partner);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * partner.hashCode() + workClass.ordinal();
+    }
+}
--- a/core/src/main/java/io/azurestage/core/admission/RecentTimes.java
+++ b/core/src/main/java/io/azurestage/core/admission/RecentTimes.java
@@ -15,8 +15,14 @@
     private static final double MEDIAN = 0.5;
     private static final long YOUNG_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Sorting for each piece of work that arrives, waits and starts took longer than the rest. */
+    private static final long REUSED_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
     private final long[] mHeld = new long[SAMPLES];
     private final long[] mEnded = new long[SAMPLES];
+    private long mTypical;
+    private long mTypicalAt;
+    private int mSorted;
     private int mNext;
     private int mCount;
 
@@ -29,6 +35,14 @@
 
     /** Returns the time that most work needs, in nanoseconds, 0 without young samples. */
     long typical(long nowNanos) {
+        if (mSorted < ENOUGH || nowNanos - mTypicalAt >= REUSED_NANOS) {
+            mTypical = sorted(nowNanos);
+            mTypicalAt = nowNanos;
+        }
+        return mTypical;
+    }
+
+    private long sorted(long nowNanos) {
         long[] young = new long[mCount];
         int n = 0;
         for (int i = 0; i < mCount; i++) {
@@ -36,6 +50,7 @@
                 young[n++] = mHeld[i];
             }
         }
+        mSorted = n;
         if (n == 0) {
             return 0;
         }
--- a/core/src/main/java/io/azurestage/core/admission/ServiceLevel.java
+++ b/core/src/main/java/io/azurestage/core/admission/ServiceLevel.java
@@ -10,4 +10,20 @@
  * @param workClass class of work
  * @param fraction admitted fraction in (0,1], 1 when everything is admitted again
  */
-public record ServiceLevel(String service, WorkClass workClass, double fraction) {}
+public record ServiceLevel(String service, WorkClass workClass, double fraction) {
+
+    /** Written out, because generated methods of records are slow where only C1 compiles. */
+    @Override
+    public boolean equals(Object o) {
+        return o instanceof ServiceLevel l
+                && workClass == l.workClass
+                && Double.compare(fraction, l.fraction) == 0
+                && service.equals(l.service);
+    }
+
+    @Override
+    public int hashCode() {
+        int hash = 31 * service.hashCode() + workClass.ordinal();
+        return 31 * hash + Double.hashCode(fraction);
+    }
+}
--- a/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
+++ b/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
@@ -4,7 +4,6 @@
 import io.azurestage.core.time.TimeSource;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -39,6 +38,9 @@
 
     private static final int MAX_CHAINS = 256;
 
+    /** Counts fade in steps of this length, short beside their half-life. */
+    private static final double FADE_SECONDS = 0.05;
+
     /**
      * Usual difference between the deadlines of a parent and of its call: the remaining time is
      * sent in whole milliseconds twice, to the server and from it, and half of one is cut off each
@@ -58,6 +60,35 @@
         private final List<CallSource> mRunning = new ArrayList<>();
         private double mSeconds = PRIOR_SECONDS;
         private double mStarts;
+        private double mWeight;
+        private long mAt;
+
+        Chain(long nowNanos) {
+            mAt = nowNanos;
+        }
+
+        /** Adds the time for which the requests have run since the last call. */
+        private void advance(long nowNanos) {
+            mSeconds += mRunning.size() * Math.max(0, (nowNanos - mAt) / 1e9);
+            mAt = nowNanos;
+        }
+
+        private void fade(double keep) {
+            mSeconds = PRIOR_SECONDS + (mSeconds - PRIOR_SECONDS) * keep;
+            mStarts *= keep;
+            mCalls.replaceAll((op, n) -> n * keep);
+            mSureCalls.replaceAll((op, n) -> n * keep);
+        }
+
+        /** Two requests may be alike in all fields, so the very one is looked for. */
+        private void remove(CallSource s) {
+            for (int i = 0; i < mRunning.size(); i++) {
+                if (mRunning.get(i) == s) {
+                    mRunning.remove(i);
+                    return;
+                }
+            }
+        }
 
         /** Estimated calls of an operation for each second that a request runs. */
         private double rate(String operation) {
@@ -68,7 +99,7 @@
     private final TimeSource mTime;
     private final RandomGenerator mRandom;
     private final Map<String, Chain> mChains = new HashMap<>();
-    private long mLast;
+    private long mFaded;
 
     /**
      * Creates an empty estimate.
@@ -79,7 +110,7 @@
     public CallAttribution(TimeSource time, RandomGenerator random) {
         mTime = Objects.requireNonNull(time, "time");
         mRandom = random;
-        mLast = time.nanos();
+        mFaded = time.nanos();
     }
 
     /**
@@ -88,11 +119,17 @@
      * @param s the request
      */
     public void started(CallSource s) {
-        advance();
+        long now = mTime.nanos();
+        fade(now);
         if (mChains.size() >= MAX_CHAINS) {
             mChains.values().removeIf(c -> c.mRunning.isEmpty());
         }
-        Chain c = mChains.computeIfAbsent(s.chain().operation(), k -> new Chain());
+        Chain c = mChains.get(s.chain().operation());
+        if (c == null) {
+            c = new Chain(now);
+            mChains.put(s.chain().operation(), c);
+        }
+        c.advance(now);
         c.mRunning.add(s);
         c.mStarts++;
     }
@@ -103,10 +140,10 @@
      * @param s the request, as given to {@link #started}
      */
     public void ended(CallSource s) {
-        advance();
         Chain c = mChains.get(s.chain().operation());
         if (c != null) {
-            c.mRunning.remove(s);
+            c.advance(mTime.nanos());
+            c.remove(s);
         }
     }
 
@@ -118,7 +155,7 @@
      * @return the request that probably made it, or empty if none runs
      */
     public Optional<CallSource> attribute(String operation, long deadlineNanos) {
-        advance();
+        fade(mTime.nanos());
         Optional<CallSource> same = choose(operation, s -> likelihood(s, deadlineNanos));
         if (same.isPresent()) {
             Chain c = mChains.get(same.get().chain().operation());
@@ -139,10 +176,11 @@
     }
 
     private Optional<CallSource> choose(String operation, ToDoubleFunction<CallSource> likelihood) {
-        Map<Chain, Double> weights = new LinkedHashMap<>();
+        long now = mTime.nanos();
         CallSource chosen = null;
         double sum = 0;
         for (Chain c : mChains.values()) {
+            c.advance(now);
             double rate = c.rate(operation);
             double before = sum;
             for (CallSource s : c.mRunning) {
@@ -152,11 +190,12 @@
                     chosen = s;
                 }
             }
-            weights.put(c, sum - before);
+            c.mWeight = sum - before;
         }
-        double total = sum;
         if (chosen != null) {
-            weights.forEach((c, w) -> c.mCalls.merge(operation, w / total, Double::sum));
+            for (Chain c : mChains.values()) {
+                c.mCalls.merge(operation, c.mWeight / sum, Double::sum);
+            }
         }
         return Optional.ofNullable(chosen);
     }
@@ -172,7 +211,11 @@
         if (c == null || c.mStarts < 1) {
             return 0;
         }
-        return c.mCalls.values().stream().mapToDouble(n -> n).sum() / c.mStarts;
+        double sum = 0;
+        for (double n : c.mCalls.values()) {
+            sum += n;
+        }
+        return sum / c.mStarts;
     }
 
     /**
@@ -192,20 +235,16 @@
                 || c.mStarts >= ENOUGH_STARTS && c.mCalls.getOrDefault(operation, 0.0) >= needed;
     }
 
-    private void advance() {
-        long now = mTime.nanos();
-        double seconds = Math.max(0, (now - mLast) / 1e9);
-        if (seconds <= 0) {
+    private void fade(long nowNanos) {
+        double seconds = (nowNanos - mFaded) / 1e9;
+        if (seconds < FADE_SECONDS) {
             return;
         }
-        mLast = now;
+        mFaded = nowNanos;
         double keep = Math.pow(0.5, seconds / HALF_LIFE_SECONDS);
         for (Chain c : mChains.values()) {
-            c.mSeconds = PRIOR_SECONDS + (c.mSeconds - PRIOR_SECONDS) * keep;
-            c.mSeconds += c.mRunning.size() * seconds;
-            c.mStarts *= keep;
-            c.mCalls.replaceAll((op, n) -> n * keep);
-            c.mSureCalls.replaceAll((op, n) -> n * keep);
+            c.fade(keep);
+            c.advance(nowNanos);
         }
     }
 }
--- a/core/src/main/java/io/azurestage/core/calls/CallerShares.java
+++ b/core/src/main/java/io/azurestage/core/calls/CallerShares.java
@@ -70,8 +70,14 @@
      */
     public boolean isCalledByServers(String operation, Map<String, Integer> nodesByService) {
         Counts c = mOperations.get(operation);
-        int nodes = nodesByService.values().stream().mapToInt(n -> n).sum();
-        if (c == null || c.mSum < ENOUGH || nodes == 0) {
+        if (c == null || c.mSum < ENOUGH) {
+            return mAssumed.contains(operation);
+        }
+        int nodes = 0;
+        for (int n : nodesByService.values()) {
+            nodes += n;
+        }
+        if (nodes == 0) {
             return mAssumed.contains(operation);
         }
         for (Map.Entry<String, Double> e : c.mByService.entrySet()) {
--- a/relay/src/main/java/io/azurestage/relay/RelayMetrics.java
+++ b/relay/src/main/java/io/azurestage/relay/RelayMetrics.java
@@ -1,6 +1,8 @@
 package io.azurestage.relay;
 
 import io.azurestage.config.WorkClass;
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -19,6 +21,8 @@
         0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1, 1.2, 1.5, 2.5, 5
     };
 
+    private static final WorkClass[] CLASSES = WorkClass.values();
+    private static final String[] OUTCOMES = {"success", "client_error", "server_error"};
     private static final int SERVER_ERRORS = 500;
     private static final int CLIENT_ERRORS = 400;
 
@@ -35,8 +39,24 @@
     private final Histogram mQueueSeconds =
             histogram("azurestage_queue_seconds", "wait for a slot of the backend server");
 
+    /** Looked up once, because each request is counted by class. */
+    private final CounterDataPoint[][] mRequestsOf = new CounterDataPoint[CLASSES.length][];
+
+    private final DistributionDataPoint[] mSecondsOf = new DistributionDataPoint[CLASSES.length];
+    private final DistributionDataPoint[] mQueueOf = new DistributionDataPoint[CLASSES.length];
+
     /** Creates metrics that are all zero. */
-    public RelayMetrics() {}
+    public RelayMetrics() {
+        for (WorkClass c : CLASSES) {
+            CounterDataPoint[] byOutcome = new CounterDataPoint[OUTCOMES.length];
+            for (int i = 0; i < OUTCOMES.length; i++) {
+                byOutcome[i] = mRequests.labelValues(name(c), OUTCOMES[i]);
+            }
+            mRequestsOf[c.ordinal()] = byOutcome;
+            mSecondsOf[c.ordinal()] = mSeconds.labelValues(name(c));
+            mQueueOf[c.ordinal()] = mQueueSeconds.labelValues(name(c));
+        }
+    }
 
     /**
      * Counts an answer to a caller.
@@ -46,15 +66,14 @@
      * @param took time since the request came
      */
     public void answered(WorkClass workClass, int status, Duration took) {
-        String outcome = "success";
+        int outcome = 0;
         if (status >= SERVER_ERRORS) {
-            outcome = "server_error";
+            outcome = 2;
         } else if (status >= CLIENT_ERRORS) {
-            outcome = "client_error";
+            outcome = 1;
         }
-        String name = name(workClass);
-        mRequests.labelValues(name, outcome).inc();
-        mSeconds.labelValues(name).observe(seconds(took));
+        mRequestsOf[workClass.ordinal()][outcome].inc();
+        mSecondsOf[workClass.ordinal()].observe(seconds(took));
     }
 
     /**
@@ -82,7 +101,7 @@
      * @param waited time in the queue
      */
     public void waited(WorkClass workClass, Duration waited) {
-        mQueueSeconds.labelValues(name(workClass)).observe(seconds(waited));
+        mQueueOf[workClass.ordinal()].observe(seconds(waited));
     }
 
     /**
--- a/relay/src/main/java/io/azurestage/relay/call/LoadReport.java
+++ b/relay/src/main/java/io/azurestage/relay/call/LoadReport.java
@@ -20,4 +20,13 @@
     public LoadReport {
         levels = List.copyOf(levels);
     }
+
+    /**
+     * Returns the same report without levels.
+     *
+     * @return a copy, which leaves a hearer's levels as they are
+     */
+    public LoadReport withoutLevels() {
+        return new LoadReport(load, List.of(), calls, calledByServers);
+    }
 }
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
@@ -7,6 +7,7 @@
 import io.azurestage.core.route.Route;
 import io.azurestage.core.routing.AttemptResult;
 import io.azurestage.relay.call.CallHandle;
+import io.azurestage.relay.call.CallListener;
 import io.azurestage.relay.call.CallResult;
 import io.azurestage.relay.call.CallSpec;
 import io.azurestage.relay.call.LoadReport;
@@ -27,7 +28,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** One request of a caller: its attempts one after the other, and its answer. */
-final class EntryCall {
+final class EntryCall implements CallListener, Runnable {
     /** Nodes that are asked in turn for a request that none of them has run. */
     private static final int MAX_PLACES = 4;
 
@@ -50,6 +51,7 @@
     private long mAttemptAt;
     private int mPlaces;
     private int mRuns;
+    private boolean mAttemptEnded;
     private boolean mMayHaveRun;
     private boolean mDone;
 
@@ -73,7 +75,7 @@
     void start() {
         mExchange.onGone(this::callerGone);
         long wait = mSpec.deadlineNanos() - mEntry.time().nanos() + LATE_NANOS;
-        mTimer = mEntry.loop().schedule(this::timeOut, wait, TimeUnit.NANOSECONDS);
+        mTimer = mEntry.loop().schedule(this, wait, TimeUnit.NANOSECONDS);
         place(null);
     }
 
@@ -84,24 +86,21 @@
             return;
         }
         mPlace = place.get();
-        mPlaces++;
+        int number = ++mPlaces;
         mTried.add(mPlace.pick().endpoint().node());
         mAttemptAt = mEntry.time().nanos();
-        boolean[] ended = new boolean[1];
-        CallHandle handle =
-                mPlace.target()
-                        .start(
-                                mSpec,
-                                (result, load) -> {
-                                    ended[0] = true;
-                                    attemptEnded(result, load);
-                                });
-        if (!ended[0]) {
+        mAttemptEnded = false;
+        CallHandle handle = mPlace.target().start(mSpec, this);
+        // An attempt that ends at once may have been followed by another one already.
+        if (!mAttemptEnded && mPlaces == number) {
             mAttempt = handle;
         }
     }
 
-    private void attemptEnded(CallResult result, LoadReport load) {
+    /** The attempt has ended. */
+    @Override
+    public void done(CallResult result, LoadReport load) {
+        mAttemptEnded = true;
         mAttempt = null;
         long took = mEntry.time().nanos() - mAttemptAt;
         mPlace.pick().done(routing(result), took, load.load());
@@ -155,7 +154,9 @@
         }
     }
 
-    private void timeOut() {
+    /** The request's time has run out. */
+    @Override
+    public void run() {
         if (mAttempt != null) {
             mAttempt.cancel();
             mAttempt = null;
--- a/relay/src/main/java/io/azurestage/relay/http/HttpListener.java
+++ b/relay/src/main/java/io/azurestage/relay/http/HttpListener.java
@@ -56,7 +56,9 @@
                     @Override
                     protected void initChannel(Channel ch) {
                         RequestLimits now = limits.get();
-                        InboundConnection c = new InboundConnection(now, handler, connections);
+                        HeadTimer timer = new HeadTimer(now.headerTimeout());
+                        InboundConnection c =
+                                new InboundConnection(now, timer, handler, connections);
                         if (draining.get()) {
                             c.drain();
                         }
@@ -65,7 +67,7 @@
                                         .setMaxInitialLineLength(now.maxHeaderBytes())
                                         .setMaxHeaderSize(now.maxHeaderBytes());
                         ch.pipeline()
-                                .addLast(new HeadTimer(now.headerTimeout()))
+                                .addLast(timer)
                                 .addLast(new HttpServerCodec(config))
                                 .addLast(c);
                     }
--- a/relay/src/main/java/io/azurestage/relay/http/InboundConnection.java
+++ b/relay/src/main/java/io/azurestage/relay/http/InboundConnection.java
@@ -37,6 +37,7 @@
     private static final int MAX_PARTS_AHEAD = 64;
 
     private final RequestLimits mLimits;
+    private final HeadTimer mHeadTimer;
     private final RequestHandler mHandler;
     private final Set<InboundConnection> mOpen;
     private final Deque<Object> mAhead = new ArrayDeque<>();
@@ -44,12 +45,18 @@
     private HttpRequest mHead;
     private ByteArrayOutputStream mBody;
     private Current mCurrent;
-    private ScheduledFuture<?> mIdle;
+    private ScheduledFuture<?> mIdleTimer;
+    private long mIdleSince;
     private boolean mDraining;
     private boolean mClosing;
 
-    InboundConnection(RequestLimits limits, RequestHandler handler, Set<InboundConnection> open) {
+    InboundConnection(
+            RequestLimits limits,
+            HeadTimer headTimer,
+            RequestHandler handler,
+            Set<InboundConnection> open) {
         mLimits = limits;
+        mHeadTimer = headTimer;
         mHandler = handler;
         mOpen = open;
     }
@@ -126,8 +133,7 @@
     }
 
     private void head(HttpRequest r) {
-        cancelIdle();
-        timer().headComplete();
+        mHeadTimer.headComplete();
         if (r.decoderResult().isFailure()) {
             Throwable cause = r.decoderResult().cause();
             boolean tooLong =
@@ -199,7 +205,9 @@
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
                         HttpResponseStatus.valueOf(reply.status()),
-                        Unpooled.wrappedBuffer(reply.body()));
+                        Unpooled.wrappedBuffer(reply.body()),
+                        Fields.CHECKED_BEFORE,
+                        Fields.CHECKED_BEFORE);
         for (Field f : reply.fields()) {
             response.headers().add(f.name(), f.value());
         }
@@ -216,7 +224,7 @@
     }
 
     private void next() {
-        timer().requestEnded();
+        mHeadTimer.requestEnded();
         if (mClosing) {
             return;
         }
@@ -229,24 +237,39 @@
         }
     }
 
-    private HeadTimer timer() {
-        return mContext.pipeline().get(HeadTimer.class);
+    /** The timer runs on through requests, so that each of them needs none of its own. */
+    private void idle() {
+        mIdleSince = mContext.executor().ticker().nanoTime();
+        if (mIdleTimer == null) {
+            startIdleTimer(mLimits.idleTimeout().toNanos());
+        }
     }
 
-    private void idle() {
-        cancelIdle();
-        mIdle =
-                mContext.executor()
-                        .schedule(
-                                () -> mContext.close(),
-                                mLimits.idleTimeout().toMillis(),
-                                TimeUnit.MILLISECONDS);
+    private void startIdleTimer(long nanos) {
+        mIdleTimer =
+                mContext.executor().schedule(this::idleTimerEnded, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    private void idleTimerEnded() {
+        mIdleTimer = null;
+        if (mCurrent != null || mHead != null) {
+            return;
+        }
+        long left =
+                mIdleSince
+                        + mLimits.idleTimeout().toNanos()
+                        - mContext.executor().ticker().nanoTime();
+        if (left > 0) {
+            startIdleTimer(left);
+        } else {
+            mContext.close();
+        }
     }
 
     private void cancelIdle() {
-        if (mIdle != null) {
-            mIdle.cancel(false);
-            mIdle = null;
+        if (mIdleTimer != null) {
+            mIdleTimer.cancel(false);
+            mIdleTimer = null;
         }
     }
 
--- a/relay/src/main/java/io/azurestage/relay/http/OutboundCall.java
+++ b/relay/src/main/java/io/azurestage/relay/http/OutboundCall.java
@@ -8,7 +8,7 @@
 import java.util.function.Consumer;
 
 /** A request in progress. Used on the event loop only. */
-public final class OutboundCall {
+public final class OutboundCall implements Runnable {
     private final OutboundRequest mRequest;
     private final Consumer<OutboundResult> mResult;
     private ScheduledFuture<?> mTimer;
@@ -37,7 +37,7 @@
     }
 
     void startTimer(EventLoop loop, Duration timeout) {
-        mTimer = loop.schedule(this::timeOut, timeout.toMillis(), TimeUnit.MILLISECONDS);
+        mTimer = loop.schedule(this, timeout.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     void connecting(Channel channel) {
@@ -67,7 +67,9 @@
         }
     }
 
-    private void timeOut() {
+    /** The request's time has run out. */
+    @Override
+    public void run() {
         if (!finish()) {
             return;
         }
--- a/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
+++ b/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
@@ -115,7 +115,9 @@
                         HttpVersion.HTTP_1_1,
                         HttpMethod.valueOf(r.method()),
                         r.target(),
-                        Unpooled.wrappedBuffer(r.body()));
+                        Unpooled.wrappedBuffer(r.body()),
+                        Fields.CHECKED_BEFORE,
+                        Fields.CHECKED_BEFORE);
         for (Field f : r.fields()) {
             request.headers().add(f.name(), f.value());
         }
--- a/relay/src/main/java/io/azurestage/relay/link/IncomingCalls.java
+++ b/relay/src/main/java/io/azurestage/relay/link/IncomingCalls.java
@@ -2,6 +2,7 @@
 
 import io.azurestage.core.time.TimeSource;
 import io.azurestage.relay.call.CallHandle;
+import io.azurestage.relay.call.CallListener;
 import io.azurestage.relay.call.CallResult;
 import io.azurestage.relay.call.CallTarget;
 import io.azurestage.relay.call.LoadReport;
@@ -17,6 +18,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * The calls of one incarnation of another node. Results are kept for a while, so that a node that
@@ -42,7 +44,31 @@
         }
     }
 
-    private record Running(CallHandle handle, boolean idempotent) {}
+    /** One call that has started, and the listener of its end. */
+    private final class Running implements CallListener {
+        private final long mId;
+        private final String mOperation;
+        private final boolean mIdempotent;
+        private CallHandle mHandle;
+        private boolean mEnded;
+
+        Running(CallStart start) {
+            mId = start.getCallId();
+            mOperation = start.getOperation();
+            mIdempotent = start.getIdempotent();
+        }
+
+        boolean isIdempotent() {
+            return mIdempotent;
+        }
+
+        @Override
+        public void done(CallResult result, LoadReport load) {
+            mEnded = true;
+            mRunning.remove(mId);
+            ended(mId, result, mTold.shortened(mOperation, load, mTime.nanos()));
+        }
+    }
 
     private record Kept(CallResult result, LoadReport load, long atNanos, int bytes) {}
 
@@ -52,7 +78,9 @@
     private final Map<Long, Partial> mPartial = new HashMap<>();
     private final Set<Long> mIncomplete = new HashSet<>();
     private final Map<Long, Kept> mKept = new LinkedHashMap<>();
+    private final ToldLevels mTold = new ToldLevels();
     private Channel mChannel;
+    private Consumer<LinkMessage> mOut;
     private long mHighest;
     private long mDisconnected;
     private int mKeptBytes;
@@ -67,6 +95,8 @@
             mChannel.close();
         }
         mChannel = channel;
+        mOut = channel::writeAndFlush;
+        mTold.clear();
         // Requests whose bodies were under way on the last connection have never run.
         mIncomplete.clear();
         mIncomplete.addAll(mPartial.keySet());
@@ -88,9 +118,9 @@
         mKept.values().removeIf(k -> now - k.atNanos > KEEP_NANOS && drop(k));
         if (mChannel == null && now - mDisconnected > RESUME_NANOS) {
             List<Running> repeatable =
-                    mRunning.values().stream().filter(Running::idempotent).toList();
+                    mRunning.values().stream().filter(Running::isIdempotent).toList();
             mRunning.values().removeAll(repeatable);
-            repeatable.forEach(r -> r.handle.cancel());
+            repeatable.forEach(r -> r.mHandle.cancel());
         }
     }
 
@@ -114,7 +144,7 @@
                 mPartial.remove(m.getCancel().getCallId());
                 Running running = mRunning.remove(m.getCancel().getCallId());
                 if (running != null) {
-                    running.handle.cancel();
+                    running.mHandle.cancel();
                 }
             }
             case QUERY -> m.getQuery().getCallIdList().forEach(this::query);
@@ -135,18 +165,11 @@
     }
 
     private void run(CallStart start, byte[] body) {
-        long id = start.getCallId();
-        boolean[] ended = new boolean[1];
-        CallHandle handle =
-                mTarget.start(
-                        Messages.spec(start, body, mTime.nanos()),
-                        (result, load) -> {
-                            ended[0] = true;
-                            mRunning.remove(id);
-                            done(id, result, load);
-                        });
-        if (!ended[0]) {
-            mRunning.put(id, new Running(handle, start.getIdempotent()));
+        Running running = new Running(start);
+        CallHandle handle = mTarget.start(Messages.spec(start, body, mTime.nanos()), running);
+        if (!running.mEnded) {
+            running.mHandle = handle;
+            mRunning.put(start.getCallId(), running);
         }
     }
 
@@ -168,7 +191,7 @@
         send(id, result, LoadReport.NONE);
     }
 
-    private void done(long id, CallResult result, LoadReport load) {
+    private void ended(long id, CallResult result, LoadReport load) {
         int bytes = result instanceof CallResult.Answered a ? a.body().length : 0;
         if (mKeptBytes + bytes <= MAX_KEPT_BYTES) {
             mKeptBytes += bytes;
@@ -184,7 +207,7 @@
 
     private void send(long id, CallResult result, LoadReport load) {
         if (mChannel != null) {
-            Messages.result(id, result, load, mChannel::writeAndFlush);
+            Messages.result(id, result, load, mOut);
         }
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
@@ -28,6 +28,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Calls to the node at one address. When the connection breaks or falls silent, a new one is opened
@@ -65,6 +66,7 @@
     private final Map<Long, Outgoing> mCalls = new LinkedHashMap<>();
     private final List<Outgoing> mUnsent = new ArrayList<>();
     private final ConfigExchange mExchange;
+    private final Consumer<LinkMessage> mOut = this::write;
     private Channel mChannel;
     private boolean mConnecting;
     private boolean mUp;
@@ -94,12 +96,13 @@
         mAddress = address;
         mSelf = self;
         mState = state;
-        mExchange = new ConfigExchange(self, this::write);
+        mExchange = new ConfigExchange(self, mOut);
     }
 
     @Override
     public CallHandle start(CallSpec spec, CallListener listener) {
-        Outgoing call = new Outgoing(mSelf.callIds().getAsLong(), spec, listener, mTime.nanos());
+        long id = mSelf.callIds().getAsLong();
+        Outgoing call = new Outgoing(this, id, spec, listener, mTime.nanos());
         mCalls.put(call.id(), call);
         if (isUp()) {
             send(call);
@@ -107,7 +110,7 @@
             mUnsent.add(call);
             connect();
         }
-        return () -> cancel(call);
+        return call;
     }
 
     /** Opens the connection if there is none. */
@@ -310,10 +313,11 @@
 
     private void send(Outgoing call) {
         call.sent();
-        Messages.start(call.id(), call.spec(), mTime.nanos(), this::write);
+        Messages.start(call.id(), call.spec(), mTime.nanos(), mOut);
     }
 
-    private void cancel(Outgoing call) {
+    /** Ends a call whose caller has gone. */
+    void cancel(Outgoing call) {
         if (mCalls.remove(call.id()) == null) {
             return;
         }
--- a/relay/src/main/java/io/azurestage/relay/link/LinkPipeline.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkPipeline.java
@@ -5,8 +5,6 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -23,8 +21,7 @@
         p.addLast(new FlushConsolidationHandler(FLUSHES, true))
                 .addLast(new FrameDecoder(PARTIAL_BYTES))
                 .addLast(new ProtobufDecoder(LinkMessage.getDefaultInstance()))
-                .addLast(new ProtobufVarint32LengthFieldPrepender())
-                .addLast(new ProtobufEncoder())
+                .addLast(new MessageEncoder())
                 .addLast(end);
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/link/Outgoing.java
+++ b/relay/src/main/java/io/azurestage/relay/link/Outgoing.java
@@ -1,5 +1,6 @@
 package io.azurestage.relay.link;
 
+import io.azurestage.relay.call.CallHandle;
 import io.azurestage.relay.call.CallListener;
 import io.azurestage.relay.call.CallResult;
 import io.azurestage.relay.call.CallSpec;
@@ -9,7 +10,8 @@
 import java.io.ByteArrayOutputStream;
 
 /** A call to another node, from its start to its result. */
-final class Outgoing {
+final class Outgoing implements CallHandle {
+    private final LinkClient mLink;
     private final long mId;
     private final CallSpec mSpec;
     private final CallListener mListener;
@@ -19,13 +21,19 @@
     private CallAnswer mAnswer;
     private boolean mSent;
 
-    Outgoing(long id, CallSpec spec, CallListener listener, long nowNanos) {
+    Outgoing(LinkClient link, long id, CallSpec spec, CallListener listener, long nowNanos) {
+        mLink = link;
         mId = id;
         mSpec = spec;
         mListener = listener;
         mStarted = nowNanos;
     }
 
+    @Override
+    public void cancel() {
+        mLink.cancel(this);
+    }
+
     long id() {
         return mId;
     }
--- a/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
@@ -8,6 +8,7 @@
 import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.calls.CallSource;
 import io.azurestage.core.event.EventType;
+import io.azurestage.relay.call.CallHandle;
 import io.azurestage.relay.call.CallListener;
 import io.azurestage.relay.call.CallResult;
 import io.azurestage.relay.call.CallSpec;
@@ -22,9 +23,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /** One call for the backend server beside this node: waits for a slot, runs, and is answered. */
-final class OwnedCall implements WorkListener {
+final class OwnedCall implements WorkListener, CallHandle, Consumer<OutboundResult> {
     private static final Duration COME_BACK = Duration.ofMillis(500);
     private static final int MISDIRECTED = 421;
     private static final int OK_FROM = 200;
@@ -83,7 +85,8 @@
     }
 
     /** A call that may not run twice goes on when its caller leaves, once it has started. */
-    void cancel() {
+    @Override
+    public void cancel() {
         if (mDone) {
             return;
         }
@@ -113,7 +116,7 @@
         mOwner.calls().started(mSource);
         mOwner.sent(mSpec);
         long left = mSpec.deadlineNanos() - mStarted;
-        mRunning = mPool.send(request(Duration.ofNanos(left)), this::ended);
+        mRunning = mPool.send(request(Duration.ofNanos(left)), this);
     }
 
     @Override
@@ -162,7 +165,9 @@
         return status >= OK_FROM && status <= OK_TO;
     }
 
-    private void ended(OutboundResult result) {
+    /** The request to the server has ended. */
+    @Override
+    public void accept(OutboundResult result) {
         if (mDone) {
             return;
         }
--- a/relay/src/main/java/io/azurestage/relay/owner/Owner.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/Owner.java
@@ -68,6 +68,17 @@
 
     private static final Duration COME_BACK = Duration.ofMillis(500);
 
+    /** How long the levels that answers carry are reused; this node's own are always new. */
+    private static final long LEVELS_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    private static final int MAX_OPERATIONS = 1_024;
+
+    /**
+     * Levels as they were put together for an operation. The list stays the same object while its
+     * content does.
+     */
+    private record Levels(Map<PartnerClass, Double> own, List<ServiceLevel> all, long atNanos) {}
+
     private final EventLoop mLoop;
     private final TimeSource mTime;
     private final BackendTracker mTracker;
@@ -81,6 +92,7 @@
     private final RetryBudget mBudget;
     private final CallerShares mCallers = new CallerShares();
     private final Map<ChainKey, Double> mBelow = new HashMap<>();
+    private final Map<String, Levels> mLevelsOf = new HashMap<>();
     private BackendServer mServer;
     private AdmissionController mAdmission;
     private HttpPool mPool;
@@ -206,7 +218,7 @@
         OwnedCall call = new OwnedCall(this, mServer, mAdmission, mPool, spec, listener);
         call.offer();
         tickIfPressed();
-        return call::cancel;
+        return call;
     }
 
     private Optional<String> unfit(CallSpec spec) {
@@ -242,23 +254,44 @@
 
     LoadReport report(CallSpec spec, AdmissionController admission) {
         ChainKey key = chain(spec);
-        List<ServiceLevel> levels = new ArrayList<>();
-        Map<PartnerClass, Double> own = admission.fractions();
+        List<ServiceLevel> levels = levels(key, admission.fractions());
+        double below = mCalls.callsPerRequest(key) * (1 + mBelow.getOrDefault(key, 0.0));
+        boolean byServers = mCallers.isCalledByServers(spec.operation(), mNodesByService.get());
+        if (byServers) {
+            mCalledByServers.accept(spec.operation());
+        }
+        return new LoadReport(admission.load(), levels, below, byServers);
+    }
+
+    private List<ServiceLevel> levels(ChainKey key, Map<PartnerClass, Double> own) {
+        long now = mTime.nanos();
+        Levels known = mLevelsOf.get(key.operation());
+        if (known != null && known.own == own && now - known.atNanos < LEVELS_NANOS) {
+            return known.all;
+        }
+        List<ServiceLevel> all = gather(key, own);
+        if (known != null && known.all.equals(all)) {
+            all = known.all;
+        }
+        if (mLevelsOf.size() >= MAX_OPERATIONS) {
+            mLevelsOf.clear();
+        }
+        mLevelsOf.put(key.operation(), new Levels(own, all, now));
+        return all;
+    }
+
+    private List<ServiceLevel> gather(ChainKey key, Map<PartnerClass, Double> own) {
+        List<ServiceLevel> all = new ArrayList<>();
         for (WorkClass c : WorkClass.values()) {
             double f = own.getOrDefault(new PartnerClass(PARTNER, c), 1.0);
-            levels.add(new ServiceLevel(spec.service(), c, f));
+            all.add(new ServiceLevel(key.service(), c, f));
         }
         for (WorkClass c : WorkClass.values()) {
             ChainKey ofClass = new ChainKey(key.service(), key.operation(), PARTNER, c);
             mLevels.fractions(ofClass)
-                    .forEach((service, f) -> levels.add(new ServiceLevel(service, c, f)));
+                    .forEach((service, f) -> all.add(new ServiceLevel(service, c, f)));
         }
-        double below = mCalls.callsPerRequest(key) * (1 + mBelow.getOrDefault(key, 0.0));
-        boolean byServers = mCallers.isCalledByServers(spec.operation(), mNodesByService.get());
-        if (byServers) {
-            mCalledByServers.accept(spec.operation());
-        }
-        return new LoadReport(admission.load(), levels, below, byServers);
+        return List.copyOf(all);
     }
 
     /**
--- /dev/null
+++ b/relay/src/test/java/io/azurestage/relay/link/ToldLevelsTest.java
@@ -0,0 +1,80 @@
+package io.azurestage.relay.link;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.config.WorkClass;
+import io.azurestage.core.admission.ServiceLevel;
+import io.azurestage.relay.call.LoadReport;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** When the levels of a backend server are told to another node again. */
+class ToldLevelsTest {
+    private static final String OPERATION = "front";
+
+    private final ToldLevels mTold = new ToldLevels();
+
+    private static LoadReport report(double fraction) {
+        return new LoadReport(
+                0.5, List.of(new ServiceLevel("s", WorkClass.NORMAL, fraction)), 2, true);
+    }
+
+    private LoadReport at(long millis, LoadReport load) {
+        return mTold.shortened(OPERATION, load, TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
+    @Nested
+    class Settled {
+        private final LoadReport mReport = report(1);
+
+        Settled() {
+            for (int t = 0; t <= 2_000; t += 50) {
+                at(t, mReport);
+            }
+        }
+
+        @Test
+        void levelsAreLeftOutAndTheRestIsTold() {
+            LoadReport told = at(2_050, mReport);
+            assertThat(told.levels()).isEmpty();
+            assertThat(told.load()).isEqualTo(0.5);
+            assertThat(told.calls()).isEqualTo(2);
+            assertThat(told.calledByServers()).isTrue();
+        }
+
+        @Test
+        void levelsAreToldAgainBeforeTheyAreTakenForOld() {
+            int told = 0;
+            for (int t = 2_050; t < 3_050; t += 10) {
+                told += at(t, mReport).levels().size();
+            }
+            assertThat(told).isBetween(3, 4);
+        }
+
+        @Test
+        void aChangeIsToldAtOnceAndWithEachAnswerForAWhile() {
+            LoadReport changed = report(0.4);
+            for (int t = 2_010; t < 4_010; t += 10) {
+                assertThat(at(t, changed).levels()).hasSize(1);
+            }
+        }
+
+        @Test
+        void anotherConnectionIsToldEverything() {
+            mTold.clear();
+            assertThat(at(2_050, mReport).levels()).hasSize(1);
+        }
+    }
+
+    @Test
+    void operationsAreToldApart() {
+        LoadReport load = report(1);
+        for (int t = 0; t <= 2_050; t += 50) {
+            at(t, load);
+        }
+        assertThat(mTold.shortened("other", load, TimeUnit.MILLISECONDS.toNanos(2_051)).levels())
+                .hasSize(1);
+    }
+}
