Repeat idempotent requests that a server failed by itself

Cause: a server's own 500 was taken for a good result.

Change: the node beside the server tells a failure of the server from one that follows a failed call (CallAttribution.hasFailedCall); the entry counts it as a failure of that server, repeats the request elsewhere within the retry budget if it is idempotent, and passes the server's answer on if nothing does better. A failed call whose parent is in doubt excuses all requests that ran, so a failure is never repeated at two depths. Ruled out: repeating every 500, which would run a whole chain again for one call.

Tests: RelayTest.FailingByItself, CallAttributionTest.FailedCalls.

--- a/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
+++ b/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
@@ -4,10 +4,12 @@
 import io.azurestage.core.time.TimeSource;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
@@ -60,6 +62,7 @@
         private final List<CallSource> mRunning = new ArrayList<>();
         private double mSeconds = PRIOR_SECONDS;
         private double mStarts;
+        private final Set<CallSource> mFailed = new HashSet<>();
         private double mWeight;
         private long mAt;
 
@@ -80,11 +83,21 @@
             mSureCalls.replaceAll((op, n) -> n * keep);
         }
 
+        private boolean runs(CallSource s) {
+            for (int i = 0; i < mRunning.size(); i++) {
+                if (mRunning.get(i) == s) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         /** Two requests may be alike in all fields, so the very one is looked for. */
         private void remove(CallSource s) {
             for (int i = 0; i < mRunning.size(); i++) {
                 if (mRunning.get(i) == s) {
                     mRunning.remove(i);
+                    mFailed.remove(s);
                     return;
                 }
             }
@@ -100,6 +113,7 @@
     private final RandomGenerator mRandom;
     private final Map<String, Chain> mChains = new HashMap<>();
     private long mFaded;
+    private long mFailedInDoubt;
 
     /**
      * Creates an empty estimate.
@@ -147,6 +161,34 @@
         }
     }
 
+    /**
+     * Notes that a call has failed, so that a failure of the request that made it is not taken for
+     * one of the server.
+     *
+     * @param parent the request, as {@link #attribute} returned it
+     */
+    public void callFailed(CallSource parent) {
+        Chain c = mChains.get(parent.chain().operation());
+        if (c != null && c.runs(parent)) {
+            c.mFailed.add(parent);
+        } else {
+            mFailedInDoubt = mTime.nanos();
+        }
+    }
+
+    /**
+     * Reports whether a call of a running request has failed, or may have.
+     *
+     * @param s the request, as given to {@link #started}
+     * @param startedNanos monotonic time at which it started
+     * @return whether one of its calls, or one whose parent is not known for sure, has failed
+     */
+    public boolean hasFailedCall(CallSource s, long startedNanos) {
+        Chain c = mChains.get(s.chain().operation());
+        boolean doubt = mFailedInDoubt != 0 && mFailedInDoubt - startedNanos >= 0;
+        return doubt || c != null && c.mFailed.contains(s);
+    }
+
     /**
      * Attributes a call.
      *
--- a/core/src/test/java/io/azurestage/core/calls/CallAttributionTest.java
+++ b/core/src/test/java/io/azurestage/core/calls/CallAttributionTest.java
@@ -231,4 +231,51 @@
             assertThat(mShares.isCalledByServers("status", mNodes)).isFalse();
         }
     }
+
+    /** Whether a request's failure may come from a call that it made. */
+    @Nested
+    class FailedCalls {
+        private final ChainKey mKey = new ChainKey("ledger", "index", "p", WorkClass.NORMAL);
+        private final CallSource mFirst = new CallSource(mKey, 1, false, 0.2, 1_000_000_000);
+        private final CallSource mSecond = new CallSource(mKey, 1, false, 0.3, 5_000_000_000L);
+        private final ManualTimeSource mTime = new ManualTimeSource();
+        private final CallAttribution mCalls = new CallAttribution(mTime, new Random(1));
+
+        private void startBoth() {
+            mTime.advance(Duration.ofMillis(10));
+            mCalls.started(mFirst);
+            mCalls.started(mSecond);
+        }
+
+        private void fail(long deadlineNanos) {
+            mCalls.callFailed(mCalls.attribute("status", deadlineNanos).orElseThrow());
+        }
+
+        @Test
+        void failedCallCountsForTheRequestThatItExpiresWith() {
+            startBoth();
+            fail(mFirst.deadlineNanos() - 1_000_000);
+            assertThat(mCalls.hasFailedCall(mFirst, 0)).isTrue();
+            assertThat(mCalls.hasFailedCall(mSecond, 0)).isFalse();
+        }
+
+        @Test
+        void failedCallOfAnUnknownRequestCountsForAllThatRan() {
+            startBoth();
+            fail(500_000_000);
+            long now = mTime.nanos();
+            assertThat(mCalls.hasFailedCall(mFirst, now)).isTrue();
+            assertThat(mCalls.hasFailedCall(mSecond, now)).isTrue();
+            assertThat(mCalls.hasFailedCall(mSecond, now + 1)).isFalse();
+        }
+
+        @Test
+        void failureIsForgottenWithItsRequest() {
+            startBoth();
+            fail(mFirst.deadlineNanos() - 1_000_000);
+            mCalls.ended(mFirst);
+            mCalls.started(mFirst);
+            assertThat(mCalls.hasFailedCall(mFirst, 0)).isFalse();
+        }
+    }
 }
--- a/relay/src/main/java/io/azurestage/relay/call/CallResult.java
+++ b/relay/src/main/java/io/azurestage/relay/call/CallResult.java
@@ -13,10 +13,29 @@
      * @param status HTTP status
      * @param fields end-to-end header fields
      * @param body whole body
-     * @param notRun whether the server states that it did not run the request
+     * @param run what became of the request at the server
      */
-    record Answered(int status, List<Field> fields, byte[] body, boolean notRun)
-            implements CallResult {}
+    record Answered(int status, List<Field> fields, byte[] body, Run run) implements CallResult {
+
+        /** What became of a request that a server has answered. */
+        public enum Run {
+            /** It ran, and the answer is its result, whether good or bad. */
+            ENDED,
+            /** The server failed, though no call that it made for the request had failed. */
+            FAILED,
+            /** The server states that it did not run it. */
+            REFUSED
+        }
+
+        /**
+         * Reports whether the server did not run the request.
+         *
+         * @return whether the server states so
+         */
+        public boolean notRun() {
+            return run == Run.REFUSED;
+        }
+    }
 
     /**
      * The request did not run and will not.
--- a/relay/src/main/java/io/azurestage/relay/entry/Entry.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/Entry.java
@@ -261,6 +261,10 @@
         }
     }
 
+    void callFailed(CallSource parent) {
+        mCalls.callFailed(parent);
+    }
+
     EventLoop loop() {
         return mLoop;
     }
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
@@ -9,6 +9,7 @@
 import io.azurestage.relay.call.CallHandle;
 import io.azurestage.relay.call.CallListener;
 import io.azurestage.relay.call.CallResult;
+import io.azurestage.relay.call.CallResult.Answered.Run;
 import io.azurestage.relay.call.CallSpec;
 import io.azurestage.relay.call.LoadReport;
 import io.azurestage.relay.http.Exchange;
@@ -32,6 +33,9 @@
     /** Nodes that are asked in turn for a request that none of them has run. */
     private static final int MAX_PLACES = 4;
 
+    /** Statuses that a server takes for the failure of its call. */
+    private static final int FAILURE_FROM = 400;
+
     private static final Duration COME_BACK = Duration.ofSeconds(1);
 
     /** The node beside the server answers first; this is the answer's way back. */
@@ -44,6 +48,10 @@
     private final Exchange mExchange;
     private final long mArrived;
     private final Set<NodeIdentity> mTried = new HashSet<>();
+
+    /** A server's answer that it failed, which is delivered if no other attempt does better. */
+    private CallResult.Answered mFailure;
+
     private CallSpec mSpec;
     private CallHandle mAttempt;
     private Placement.Place mPlace;
@@ -109,8 +117,11 @@
         }
         mEntry.learn(mChain, mParent, load);
         if (result instanceof CallResult.Answered a && !a.notRun()) {
-            deliver(a);
-            return;
+            if (a.run() == Run.ENDED) {
+                deliver(a);
+                return;
+            }
+            mFailure = a;
         }
         if (result instanceof CallResult.NotRun n) {
             if (n.elsewhere() && mPlaces < MAX_PLACES && isTimeLeft()) {
@@ -120,7 +131,7 @@
             }
             return;
         }
-        if (result instanceof CallResult.MaybeRun) {
+        if (result instanceof CallResult.MaybeRun || result == mFailure) {
             mMayHaveRun = true;
             mRuns++;
         }
@@ -145,7 +156,9 @@
     }
 
     private void giveUp(CallResult result) {
-        if (mMayHaveRun) {
+        if (mFailure != null) {
+            deliver(mFailure);
+        } else if (mMayHaveRun) {
             answer(Reply.text(502, "the answer was lost\n"), describe(result));
         } else if (result instanceof CallResult.NotRun n) {
             answer(Replies.comeBack("not run: " + n.reason(), n.retryAfter()), describe(result));
@@ -162,7 +175,11 @@
             mAttempt = null;
             mPlace.pick().done(AttemptResult.FAILED, mEntry.time().nanos() - mAttemptAt, -1);
         }
-        answer(Reply.text(504, "no answer in time\n"), "timeout");
+        if (mFailure != null) {
+            deliver(mFailure);
+        } else {
+            answer(Reply.text(504, "no answer in time\n"), "timeout");
+        }
     }
 
     private void answer(Reply reply, String failure) {
@@ -170,6 +187,9 @@
             return;
         }
         finish();
+        if (mParent.isPresent() && reply.status() >= FAILURE_FROM) {
+            mEntry.callFailed(mParent.get());
+        }
         Duration took = Duration.ofNanos(mEntry.time().nanos() - mArrived);
         mEntry.metrics().answered(mSpec.workClass(), reply.status(), took);
         if (failure != null) {
@@ -226,7 +246,11 @@
 
     private static AttemptResult routing(CallResult result) {
         if (result instanceof CallResult.Answered a) {
-            return a.notRun() ? AttemptResult.REFUSED : AttemptResult.ANSWERED;
+            return switch (a.run()) {
+                case ENDED -> AttemptResult.ANSWERED;
+                case FAILED -> AttemptResult.FAILED;
+                case REFUSED -> AttemptResult.REFUSED;
+            };
         }
         if (result instanceof CallResult.NotRun n) {
             if (n.reason().equals(Owner.RETRY_BUDGET)) {
@@ -247,6 +271,7 @@
         if (result instanceof CallResult.MaybeRun m) {
             return "maybe run: " + m.reason();
         }
-        return "the server refused it";
+        boolean failed = result instanceof CallResult.Answered a && a.run() == Run.FAILED;
+        return failed ? "the server failed" : "the server refused it";
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/link/Messages.java
+++ b/relay/src/main/java/io/azurestage/relay/link/Messages.java
@@ -3,6 +3,7 @@
 import io.azurestage.config.WorkClass;
 import io.azurestage.core.admission.ServiceLevel;
 import io.azurestage.relay.call.CallResult;
+import io.azurestage.relay.call.CallResult.Answered.Run;
 import io.azurestage.relay.call.CallSpec;
 import io.azurestage.relay.call.LoadReport;
 import io.azurestage.relay.http.Field;
@@ -91,6 +92,7 @@
                             .setBody(BodyParts.first(a.body()))
                             .setMore(BodyParts.hasMore(a.body()))
                             .setNotRun(a.notRun())
+                            .setOwnFailure(a.run() == Run.FAILED)
                             .setLoad(load(load));
             for (Field f : a.fields()) {
                 b.addFields(HttpField.newBuilder().setName(f.name()).setValue(f.value()));
@@ -114,7 +116,9 @@
     static CallResult.Answered answered(CallAnswer m, byte[] body) {
         List<Field> fields = new ArrayList<>(m.getFieldsCount());
         m.getFieldsList().forEach(f -> fields.add(new Field(f.getName(), f.getValue())));
-        return new CallResult.Answered(m.getStatus(), fields, body, m.getNotRun());
+        Run failedOrEnded = m.getOwnFailure() ? Run.FAILED : Run.ENDED;
+        Run run = m.getNotRun() ? Run.REFUSED : failedOrEnded;
+        return new CallResult.Answered(m.getStatus(), fields, body, run);
     }
 
     static CallResult ended(CallEnd m) {
--- a/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
@@ -11,6 +11,7 @@
 import io.azurestage.relay.call.CallHandle;
 import io.azurestage.relay.call.CallListener;
 import io.azurestage.relay.call.CallResult;
+import io.azurestage.relay.call.CallResult.Answered.Run;
 import io.azurestage.relay.call.CallSpec;
 import io.azurestage.relay.http.Field;
 import io.azurestage.relay.http.Fields;
@@ -31,6 +32,8 @@
     private static final int MISDIRECTED = 421;
     private static final int OK_FROM = 200;
     private static final int OK_TO = 299;
+    private static final int FAILURE_FROM = 500;
+    private static final int OUT_OF_TIME = 504;
 
     private final Owner mOwner;
     private final BackendServer mServer;
@@ -161,6 +164,11 @@
                 .orElse(!isSuccess(status));
     }
 
+    /** A request that ran out of time has not found a failure of the server. */
+    private static boolean isFailure(int status) {
+        return status >= FAILURE_FROM && status != OUT_OF_TIME;
+    }
+
     private static boolean isSuccess(int status) {
         return status >= OK_FROM && status <= OK_TO;
     }
@@ -171,9 +179,10 @@
         if (mDone) {
             return;
         }
+        boolean callFailed = mOwner.calls().hasFailedCall(mSource, mStarted);
         mOwner.calls().ended(mSource);
         if (result instanceof OutboundResult.Answered a) {
-            answered(a);
+            answered(a, callFailed);
         } else if (result instanceof OutboundResult.NotSent n) {
             release(Completion.Outcome.FAILED);
             finish(new CallResult.NotRun(n.reason(), COME_BACK, true));
@@ -183,13 +192,13 @@
         }
     }
 
-    private void answered(OutboundResult.Answered a) {
+    private void answered(OutboundResult.Answered a, boolean callFailed) {
         boolean notRun =
                 a.status() == MISDIRECTED
                         || Fields.first(a.fields(), mOwner.names().notRun()).isPresent();
         if (notRun) {
             release(Completion.Outcome.SERVER_REFUSED);
-            finish(new CallResult.Answered(a.status(), a.fields(), a.body(), true));
+            finish(new CallResult.Answered(a.status(), a.fields(), a.body(), Run.REFUSED));
             return;
         }
         boolean signed = Fields.first(a.fields(), mOwner.names().signature()).isPresent();
@@ -199,7 +208,9 @@
             return;
         }
         release(Completion.Outcome.ANSWERED);
-        finish(new CallResult.Answered(a.status(), a.fields(), a.body(), false));
+        boolean failed = isFailure(a.status()) && !callFailed;
+        Run run = failed ? Run.FAILED : Run.ENDED;
+        finish(new CallResult.Answered(a.status(), a.fields(), a.body(), run));
     }
 
     private void finishUnsent(String reason) {
--- a/relay/src/test/java/io/azurestage/relay/RelayTest.java
+++ b/relay/src/test/java/io/azurestage/relay/RelayTest.java
@@ -338,6 +338,68 @@
         }
     }
 
+    /** Servers that fail part of their requests while they count as healthy. */
+    @Nested
+    class FailingByItself {
+        private final byte[] mFailure =
+                RawServer.text(
+                        "HTTP/1.1 500 Failed\r\nId: request-1\r\nSigned: s\r\n"
+                                + "Content-Length: 6\r\n\r\nfailed");
+
+        private void addServer(RawServer.Script script) throws Exception {
+            node("owner-2", "books");
+            RawServer second = new RawServer(script);
+            mOpen.add(second);
+            Loop.await(
+                    "the entry of the second server",
+                    () -> {
+                        try {
+                            heartbeat(2, "books", second, false);
+                        } catch (Exception e) {
+                            throw new AssertionError(e);
+                        }
+                        return mStore.keys("azurestage/nodes/").size() == 2;
+                    });
+        }
+
+        @Test
+        void requestThatMayRunAgainIsSentToAnotherServer() throws Exception {
+            InetSocketAddress entry = scene((r, s) -> s.getOutputStream().write(mFailure));
+            addServer((r, s) -> s.getOutputStream().write(RawServer.ok(r, "whole")));
+            // The retry budget is empty at a start and fills with time.
+            Loop.await(
+                    "a request that failed is repeated",
+                    () -> {
+                        int before = mServer.requests().size();
+                        try {
+                            int status = raw(entry, "GET", "/r/", "").status();
+                            return status == 200 && mServer.requests().size() > before;
+                        } catch (IOException e) {
+                            throw new AssertionError(e);
+                        }
+                    });
+        }
+
+        @Test
+        void requestThatMayNotRunTwiceGetsTheServersAnswer() throws Exception {
+            InetSocketAddress entry = scene((r, s) -> s.getOutputStream().write(mFailure));
+            addServer((r, s) -> s.getOutputStream().write(mFailure));
+            RawReply reply = raw(entry, "POST", "/w/", "body");
+            assertThat(reply.status()).isEqualTo(500);
+            assertThat(reply.head()).contains("Signed: s");
+        }
+
+        @Test
+        void failureOfAllServersIsPassedOnAsItIs() throws Exception {
+            InetSocketAddress entry = scene((r, s) -> s.getOutputStream().write(mFailure));
+            addServer((r, s) -> s.getOutputStream().write(mFailure));
+            RawReply reply = raw(entry, "GET", "/r/", "");
+            assertThat(reply.status()).isEqualTo(500);
+            assertThat(reply.head()).contains("Signed: s");
+            assertThat(reply.body()).isEqualTo("failed");
+        }
+    }
+
     @Nested
     class Changing {
         /**
--- a/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
@@ -9,6 +9,7 @@
 import io.azurestage.relay.call.CallHandle;
 import io.azurestage.relay.call.CallListener;
 import io.azurestage.relay.call.CallResult;
+import io.azurestage.relay.call.CallResult.Answered.Run;
 import io.azurestage.relay.call.CallSpec;
 import io.azurestage.relay.call.LoadReport;
 import java.net.InetAddress;
@@ -64,7 +65,8 @@
             mHeld.add(listener);
         } else {
             listener.done(
-                    new CallResult.Answered(200, List.of(), spec.body(), false), LoadReport.NONE);
+                    new CallResult.Answered(200, List.of(), spec.body(), Run.ENDED),
+                    LoadReport.NONE);
         }
         return mCancelled::incrementAndGet;
     }
@@ -196,7 +198,7 @@
                                                                     200,
                                                                     List.of(),
                                                                     new byte[0],
-                                                                    false),
+                                                                    Run.ENDED),
                                                             LoadReport.NONE)));
         }
 
