Place less work on a server that fails a part of it

Load pattern: a server that is well by its own word and fails or turns away a part of its requests. Each caller sees few of them, so its own evidence is thin, and one good answer made a refused server look free again.

Change: the node beside the server counts what it fails or turns away (FaultRate) and tells the rate with the load report. Placement counts a failed attempt as another attempt, perhaps in another data centre, and gives the server less work among its peers; the rate fades, so the server is tried again within seconds. Where all servers fail alike nothing moves.

--- a/core/src/main/java/io/azurestage/core/routing/Pick.java
+++ b/core/src/main/java/io/azurestage/core/routing/Pick.java
@@ -10,6 +10,13 @@
      */
     Endpoint endpoint();
 
+    /**
+     * Reports what part of its work the server fails, before the attempt's end is reported.
+     *
+     * @param rate part of the requests that the server fails or turns away, in [0,1]
+     */
+    void faults(double rate);
+
     /**
      * Reports how the attempt ended. Only the first report counts.
      *
--- a/core/src/main/java/io/azurestage/core/routing/Server.java
+++ b/core/src/main/java/io/azurestage/core/routing/Server.java
@@ -15,6 +15,7 @@
     private static final double NEUTRAL_LOAD = 0.5;
     private static final double LOAD_PART = 0.5;
     private static final double MIN_WARMTH = 0.1;
+    private static final double MAX_FAULTS = 0.95;
     private static final long LOAD_LIFE_NANOS = Duration.ofSeconds(5).toNanos();
 
     private record Load(double value, long at) {}
@@ -31,6 +32,7 @@
     private final long mBorn;
     private final long mWarmUp;
     private volatile Load mLoad = new Load(NEUTRAL_LOAD, 0);
+    private volatile Load mFaults = new Load(0, 0);
 
     /**
      * Creates the state of a server that was not known before.
@@ -44,6 +46,16 @@
         mBorn = now - Math.max(0, Math.min(age.toMillis(), warmUp.toMillis())) * 1_000_000;
     }
 
+    void reportFaults(double rate, long now) {
+        mFaults = new Load(Math.max(0, Math.min(MAX_FAULTS, rate)), now);
+    }
+
+    /** Attempts that fail on average before one at this server does not. */
+    double failedAttempts(long now) {
+        double rate = faults(now);
+        return rate / (1 - rate);
+    }
+
     boolean isOpen() {
         return mEndpoint.state() != Endpoint.State.DRAINING && !mRefusesAsDraining;
     }
@@ -66,7 +78,8 @@
         double slots = slots(now);
         double loadFactor = 1 + LOAD_PART * Math.min(1, load(now));
         double pressure = (1 + mInFlight.get() * meanSlots / slots) * loadFactor;
-        return slots / (pressure * pressure * pressure);
+        double good = 1 - faults(now);
+        return slots * good * good * good * good / (pressure * pressure * pressure);
     }
 
     /**
@@ -79,6 +92,11 @@
         return Math.max(0, occupied - KNEE);
     }
 
+    private double faults(long now) {
+        Load f = mFaults;
+        return f.value() * Math.max(0, 1 - (double) (now - f.at()) / LOAD_LIFE_NANOS);
+    }
+
     private double slots(long now) {
         double warmth = mWarmUp == 0 ? 1 : (double) (now - mBorn) / mWarmUp;
         return Math.max(1, mEndpoint.slots()) * Math.max(MIN_WARMTH, Math.min(1, warmth));
--- a/core/src/main/java/io/azurestage/core/routing/ServerPick.java
+++ b/core/src/main/java/io/azurestage/core/routing/ServerPick.java
@@ -24,6 +24,11 @@
         return mEndpoint;
     }
 
+    @Override
+    public void faults(double rate) {
+        mServer.reportFaults(rate, mClock.getAsLong());
+    }
+
     @Override
     public void done(AttemptResult result, long latencyNanos, double load) {
         if (!mDone.compareAndSet(false, true)) {
--- a/core/src/main/java/io/azurestage/core/routing/ServiceState.java
+++ b/core/src/main/java/io/azurestage/core/routing/ServiceState.java
@@ -24,6 +24,9 @@
 
     private static final int DRAWS = 4;
 
+    /** Another data centre of the same region. */
+    private static final int NEXT_TIER = 1;
+
     /**
      * Servers that take new work.
      *
@@ -92,6 +95,8 @@
             Server s = twoChoices(l.tiers[i], l.meanSlots, exclude, ejectedToo, random, now);
             if (s != null) {
                 double cost = mTiers.cost(i) + s.wait(trustLoad, now) * mLatency;
+                // Each failed attempt is made again, which may mean crossing to another one.
+                cost += s.failedAttempts(now) * (mLatency + mTiers.cost(NEXT_TIER));
                 if (best == null || cost < bestCost) {
                     best = s;
                     bestCost = cost;
--- a/core/src/test/java/io/azurestage/core/routing/RouterTest.java
+++ b/core/src/test/java/io/azurestage/core/routing/RouterTest.java
@@ -167,6 +167,43 @@
         assertThat(picksOf(r, "bad", 100)).as("state of a server that was gone").isPositive();
     }
 
+    // Guards against a server that keeps its work because it is near, though it fails much of it.
+    @Example
+    void aServerThatFailsAPartGetsATrickleWhileOthersAreWell() {
+        Router r = router(new Random(7));
+        r.update(List.of(endpoint("near", 1, "dc-1", 0), endpoint("away", 1, "dc-2", 0)));
+        assertThat(picksOf(r, "near", 200)).isEqualTo(200);
+        reportFaults(r, "near", 0.45);
+        assertThat(picksOf(r, "near", 200)).isLessThan(10);
+        mTime.advance(Duration.ofSeconds(5));
+        assertThat(picksOf(r, "near", 200)).as("it is tried again").isPositive();
+    }
+
+    // Guards against the same among servers of one data centre.
+    @Example
+    void aServerThatFailsAPartGetsLessThanItsPeers() {
+        Router r = router(new Random(7));
+        r.update(List.of(endpoint("bad", 1, "dc-1", 0), endpoint("good", 1, "dc-1", 0)));
+        reportFaults(r, "bad", 0.45);
+        assertThat(picksOf(r, "bad", 400)).isBetween(1, 60);
+    }
+
+    // Guards against traffic between data centres that wins nothing.
+    @Example
+    void whereAllServersFailAlikeWorkStaysInTheDataCentre() {
+        Router r = router(new Random(7));
+        r.update(List.of(endpoint("near", 1, "dc-1", 0), endpoint("away", 1, "dc-2", 0)));
+        reportFaults(r, "near", 0.55);
+        reportFaults(r, "away", 0.55);
+        assertThat(picksOf(r, "near", 200)).isEqualTo(200);
+    }
+
+    private static void reportFaults(Router r, String nodeId, double rate) {
+        Pick p = r.find(new NodeIdentity(nodeId, 1)).orElseThrow();
+        p.faults(rate);
+        p.done(ANSWERED, LATENCY, 0.5);
+    }
+
     // Guards against new work for a server that refuses as draining before membership says so.
     @Example
     void aServerThatRefusesAsDrainingGetsNoNewWork() {
--- a/relay/src/main/java/io/azurestage/relay/call/LoadReport.java
+++ b/relay/src/main/java/io/azurestage/relay/call/LoadReport.java
@@ -7,14 +7,19 @@
  * State of a backend server and of the services below it, sent with each result.
  *
  * @param load requests running and waiting over the slots, negative if unknown
+ * @param faults part of its work that the server fails or turns away, in [0,1]
  * @param levels admitted fractions by service and class
  * @param calls calls that one request of this operation makes on average, directly or below
  * @param calledByServers whether servers call this operation, rather than clients
  */
 public record LoadReport(
-        double load, List<ServiceLevel> levels, double calls, boolean calledByServers) {
+        double load,
+        double faults,
+        List<ServiceLevel> levels,
+        double calls,
+        boolean calledByServers) {
     /** Says nothing. */
-    public static final LoadReport NONE = new LoadReport(-1, List.of(), 0, false);
+    public static final LoadReport NONE = new LoadReport(-1, 0, List.of(), 0, false);
 
     /** Copies the levels. */
     public LoadReport {
@@ -27,6 +32,6 @@
      * @return a copy, which leaves a hearer's levels as they are
      */
     public LoadReport withoutLevels() {
-        return new LoadReport(load, List.of(), calls, calledByServers);
+        return new LoadReport(load, faults, List.of(), calls, calledByServers);
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
@@ -111,6 +111,9 @@
         mAttemptEnded = true;
         mAttempt = null;
         long took = mEntry.time().nanos() - mAttemptAt;
+        if (load.load() >= 0) {
+            mPlace.pick().faults(load.faults());
+        }
         mPlace.pick().done(routing(result), took, load.load());
         if (mDone) {
             return;
--- a/relay/src/main/java/io/azurestage/relay/link/Messages.java
+++ b/relay/src/main/java/io/azurestage/relay/link/Messages.java
@@ -135,13 +135,15 @@
             levels.add(
                     new ServiceLevel(l.getService(), workClass(l.getWorkClass()), l.getFraction()));
         }
-        return new LoadReport(m.getLoad(), levels, m.getCalls(), m.getCalledByServers());
+        return new LoadReport(
+                m.getLoad(), m.getFaults(), levels, m.getCalls(), m.getCalledByServers());
     }
 
     private static ServerLoad load(LoadReport r) {
         ServerLoad.Builder b =
                 ServerLoad.newBuilder()
                         .setLoad(r.load())
+                        .setFaults(r.faults())
                         .setCalls(r.calls())
                         .setCalledByServers(r.calledByServers());
         for (ServiceLevel l : r.levels()) {
--- a/relay/src/main/java/io/azurestage/relay/owner/Owner.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/Owner.java
@@ -13,6 +13,7 @@
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
 import io.azurestage.core.retry.RetryBudget;
+import io.azurestage.core.routing.FaultRate;
 import io.azurestage.core.time.TimeSource;
 import io.azurestage.mesh.Address;
 import io.azurestage.relay.HeaderNames;
@@ -96,6 +97,7 @@
     private BackendServer mServer;
     private AdmissionController mAdmission;
     private HttpPool mPool;
+    private FaultRate mFaults;
     private boolean mStopping;
     private boolean mTicking;
 
@@ -160,6 +162,7 @@
                         mLoop, mTime, Address.parse(s.address()).orElseThrow(), CONNECT_TIMEOUT);
         int limit = Math.max(1, (int) Math.floor(s.slots() * SLOT_PART));
         mAdmission = AdmissionController.withFixedLimit(limit, mTime);
+        mFaults = new FaultRate(mTime);
     }
 
     /** Takes no new work any more; requests that run are finished. */
@@ -248,6 +251,11 @@
         }
     }
 
+    /** A request has ended at the server. */
+    void ended(boolean failed) {
+        mFaults.ended(failed);
+    }
+
     boolean mayStart(BackendServer server) {
         return !mStopping && server.serverId().equals(mServer.serverId()) && mTracker.mayStart();
     }
@@ -260,7 +268,7 @@
         if (byServers) {
             mCalledByServers.accept(spec.operation());
         }
-        return new LoadReport(admission.load(), levels, below, byServers);
+        return new LoadReport(admission.load(), mFaults.rate(), levels, below, byServers);
     }
 
     private List<ServiceLevel> levels(ChainKey key, Map<PartnerClass, Double> own) {
