Pay for a retry where the first attempt was

Ruled out: too many retries for the bound (0.03 of the requests against 0.2), and the class reserve alone.

Change: the node whose server failed the attempt, which has counted it, takes the retry from its budget and says so with the result; the next node then asks for none. Without such a word, as from a node that was lost, the next node's budget decides as before.

Test: RelayTest.FailingByItself.retriesArePaidForWhereTheFirstAttemptsWere.

--- a/relay/src/main/java/io/azurestage/relay/call/CallSpec.java
+++ b/relay/src/main/java/io/azurestage/relay/call/CallSpec.java
@@ -23,6 +23,7 @@
  * @param repeat whether it, or the request that made it, was sent before
  * @param retry whether this attempt itself follows one that reached a server, so that it needs a
  *     part of the retry budget
+ * @param granted whether the node of the last attempt has taken that part from its budget already
  * @param idempotent whether it may run more than once
  * @param callerService service of the VM where the request began
  */
@@ -42,15 +43,17 @@
         boolean inProgress,
         boolean repeat,
         boolean retry,
+        boolean granted,
         boolean idempotent,
         String callerService) {
 
     /**
      * Returns the same request, marked as a retry.
      *
+     * @param granted whether the node of the last attempt has paid for it
      * @return a copy
      */
-    public CallSpec repeated() {
+    public CallSpec repeated(boolean granted) {
         return new CallSpec(
                 requestId,
                 method,
@@ -67,6 +70,7 @@
                 inProgress,
                 true,
                 true,
+                granted,
                 idempotent,
                 callerService);
     }
--- a/relay/src/main/java/io/azurestage/relay/call/LoadReport.java
+++ b/relay/src/main/java/io/azurestage/relay/call/LoadReport.java
@@ -11,27 +11,39 @@
  * @param levels admitted fractions by service and class
  * @param calls calls that one request of this operation makes on average, directly or below
  * @param calledByServers whether servers call this operation, rather than clients
+ * @param retryGranted whether the node has paid from its retry budget for another attempt at the
+ *     very request
  */
 public record LoadReport(
         double load,
         double faults,
         List<ServiceLevel> levels,
         double calls,
-        boolean calledByServers) {
+        boolean calledByServers,
+        boolean retryGranted) {
     /** Says nothing. */
-    public static final LoadReport NONE = new LoadReport(-1, 0, List.of(), 0, false);
+    public static final LoadReport NONE = new LoadReport(-1, 0, List.of(), 0, false, false);
 
     /** Copies the levels. */
     public LoadReport {
         levels = List.copyOf(levels);
     }
 
+    /**
+     * Returns the same report with a retry that is paid for.
+     *
+     * @return a copy
+     */
+    public LoadReport withRetry() {
+        return new LoadReport(load, faults, levels, calls, calledByServers, true);
+    }
+
     /**
      * Returns the same report without levels.
      *
      * @return a copy, which leaves a hearer's levels as they are
      */
     public LoadReport withoutLevels() {
-        return new LoadReport(load, faults, List.of(), calls, calledByServers);
+        return new LoadReport(load, faults, List.of(), calls, calledByServers, retryGranted);
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/entry/Entry.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/Entry.java
@@ -187,6 +187,7 @@
                         call,
                         parent.map(CallSource::repeat).orElse(false),
                         false,
+                        false,
                         route.idempotent(),
                         mSettings.ownService());
         mOpen++;
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
@@ -143,7 +143,7 @@
         if (mayRepeat && attemptsLeft && isTimeLeft()) {
             mEntry.metrics().retried(mSpec.workClass());
             record(EventType.RETRY_STARTED, Map.of("after", describe(result)));
-            mSpec = mSpec.repeated();
+            mSpec = mSpec.repeated(load.retryGranted());
             place(result);
             return;
         }
--- a/relay/src/main/java/io/azurestage/relay/link/Messages.java
+++ b/relay/src/main/java/io/azurestage/relay/link/Messages.java
@@ -45,6 +45,7 @@
                         .setInProgress(s.inProgress())
                         .setRepeat(s.repeat())
                         .setRetry(s.retry())
+                        .setGranted(s.granted())
                         .setIdempotent(s.idempotent())
                         .setCallerService(s.callerService());
         b.addFields(HttpField.newBuilder().setName(HOST).setValue(s.host()));
@@ -79,6 +80,7 @@
                 m.getInProgress(),
                 m.getRepeat(),
                 m.getRetry(),
+                m.getGranted(),
                 m.getIdempotent(),
                 m.getCallerService());
     }
@@ -136,7 +138,12 @@
                     new ServiceLevel(l.getService(), workClass(l.getWorkClass()), l.getFraction()));
         }
         return new LoadReport(
-                m.getLoad(), m.getFaults(), levels, m.getCalls(), m.getCalledByServers());
+                m.getLoad(),
+                m.getFaults(),
+                levels,
+                m.getCalls(),
+                m.getCalledByServers(),
+                m.getRetryGranted());
     }
 
     private static ServerLoad load(LoadReport r) {
@@ -144,6 +151,7 @@
                 ServerLoad.newBuilder()
                         .setLoad(r.load())
                         .setFaults(r.faults())
+                        .setRetryGranted(r.retryGranted())
                         .setCalls(r.calls())
                         .setCalledByServers(r.calledByServers());
         for (ServiceLevel l : r.levels()) {
--- a/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
@@ -13,6 +13,7 @@
 import io.azurestage.relay.call.CallResult;
 import io.azurestage.relay.call.CallResult.Answered.Run;
 import io.azurestage.relay.call.CallSpec;
+import io.azurestage.relay.call.LoadReport;
 import io.azurestage.relay.http.Field;
 import io.azurestage.relay.http.Fields;
 import io.azurestage.relay.http.HttpPool;
@@ -24,11 +25,16 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** One call for the backend server beside this node: waits for a slot, runs, and is answered. */
 final class OwnedCall implements WorkListener, CallHandle, Consumer<OutboundResult> {
     private static final Duration COME_BACK = Duration.ofMillis(500);
+
+    /** Less time than this is not enough for another attempt. */
+    private static final long WORTH_A_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
     private static final int MISDIRECTED = 421;
     private static final int OK_FROM = 200;
     private static final int OK_TO = 299;
@@ -251,7 +257,20 @@
                                     "operation", mSpec.operation(),
                                     "load", Double.toString(mAdmission.load())));
         }
-        mListener.done(result, mOwner.report(mSpec, mAdmission));
+        LoadReport report = mOwner.report(mSpec, mAdmission);
+        boolean granted = mayRepeat(result) && mOwner.grantRetry(mSpec);
+        mListener.done(result, granted ? report.withRetry() : report);
+    }
+
+    /** A second failure is not repeated here: most routes allow two attempts. */
+    private boolean mayRepeat(CallResult result) {
+        if (mSpec.retry() || mSpec.deadlineNanos() - mOwner.time().nanos() < WORTH_A_RETRY_NANOS) {
+            return false;
+        }
+        if (result instanceof CallResult.Answered a) {
+            return a.notRun() || a.run() == Run.FAILED && mSpec.idempotent();
+        }
+        return result instanceof CallResult.MaybeRun && mSpec.idempotent();
     }
 
     private static String describe(CallResult result) {
--- a/relay/src/main/java/io/azurestage/relay/owner/Owner.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/Owner.java
@@ -238,8 +238,16 @@
     }
 
     private boolean isOverBudget(CallSpec spec) {
-        double reserve = RESERVES[spec.workClass().ordinal()];
-        return spec.retry() && !mBudget.tryRetry(spec.service(), reserve);
+        return spec.retry() && !spec.granted() && !grantRetry(spec);
+    }
+
+    /**
+     * Takes another attempt at a request from the retry budget. The node whose server failed the
+     * first one pays, since it has counted that: where retries of several servers meet at one that
+     * is well, its own part of the budget covers few of them.
+     */
+    boolean grantRetry(CallSpec spec) {
+        return mBudget.tryRetry(spec.service(), RESERVES[spec.workClass().ordinal()]);
     }
 
     /** Calls of a request that runs again count as retries, too, but are never refused for it. */
@@ -268,7 +276,7 @@
         if (byServers) {
             mCalledByServers.accept(spec.operation());
         }
-        return new LoadReport(admission.load(), mFaults.rate(), levels, below, byServers);
+        return new LoadReport(admission.load(), mFaults.rate(), levels, below, byServers, false);
     }
 
     private List<ServiceLevel> levels(ChainKey key, Map<PartnerClass, Double> own) {
--- a/relay/src/test/java/io/azurestage/relay/RelayTest.java
+++ b/relay/src/test/java/io/azurestage/relay/RelayTest.java
@@ -22,6 +22,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
@@ -380,6 +381,26 @@
                     });
         }
 
+        /** Retries of all failing servers meet at the ones that are well. */
+        @Test
+        void retriesArePaidForWhereTheFirstAttemptsWere() throws Exception {
+            AtomicBoolean failing = new AtomicBoolean();
+            InetSocketAddress entry =
+                    scene(
+                            (r, s) ->
+                                    s.getOutputStream()
+                                            .write(failing.get() ? mFailure : RawServer.ok(r, "")));
+            for (int i = 0; i < 150; i++) {
+                raw(entry, "GET", "/r/", "");
+            }
+            addServer((r, s) -> s.getOutputStream().write(RawServer.ok(r, "whole")));
+            failing.set(true);
+            int before = mServer.requests().size();
+            while (mServer.requests().size() < before + 3) {
+                assertThat(raw(entry, "GET", "/r/", "").status()).isEqualTo(200);
+            }
+        }
+
         @Test
         void requestThatMayNotRunTwiceGetsTheServersAnswer() throws Exception {
             InetSocketAddress entry = scene((r, s) -> s.getOutputStream().write(mFailure));
--- a/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
@@ -82,6 +82,7 @@
                 false,
                 false,
                 false,
+                false,
                 true,
                 "caller");
     }
--- a/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
@@ -109,6 +109,7 @@
                 false,
                 false,
                 false,
+                false,
                 idempotent,
                 "caller");
     }
--- a/relay/src/test/java/io/azurestage/relay/link/ToldLevelsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/ToldLevelsTest.java
@@ -18,7 +18,7 @@
 
     private static LoadReport report(double fraction) {
         return new LoadReport(
-                0.5, 0, List.of(new ServiceLevel("s", WorkClass.NORMAL, fraction)), 2, true);
+                0.5, 0, List.of(new ServiceLevel("s", WorkClass.NORMAL, fraction)), 2, true, false);
     }
 
     private LoadReport at(long millis, LoadReport load) {
