Log who paid for a retry, and describe the budget anew

Cause: the line of a started retry did not say whether the budget had granted it, so the denials on one node were found only by counting its refusals. The catalogue said that a retry was taken from the allowance, which holds for asked ones, too.

--- a/core/src/main/java/io/azurestage/core/event/EventType.java
+++ b/core/src/main/java/io/azurestage/core/event/EventType.java
@@ -21,7 +21,7 @@
     REQUEST_CANCELLED(204, Severity.INFO, "the caller went away"),
     ATTEMPT_STARTED(205, Severity.INFO, "an attempt was sent to another node"),
     ATTEMPT_FAILED(206, Severity.WARNING, "an attempt failed"),
-    RETRY_STARTED(207, Severity.INFO, "a retry was taken from the allowance"),
+    RETRY_STARTED(207, Severity.INFO, "an attempt is sent again"),
     ANSWER_DROPPED(208, Severity.WARNING, "a late, duplicate or foreign answer was dropped"),
     ANSWER_BROKEN(209, Severity.WARNING, "an answer broke off"),
     CONTEXT_REFUSED(210, Severity.WARNING, "a forged or replayed context was refused"),
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryCall.java
@@ -142,7 +142,8 @@
         boolean attemptsLeft = mRuns < mRoute.maxAttempts() && mPlaces < MAX_PLACES;
         if (mayRepeat && attemptsLeft && isTimeLeft()) {
             mEntry.metrics().retried(mSpec.workClass());
-            record(EventType.RETRY_STARTED, Map.of("after", describe(result)));
+            String granted = Boolean.toString(load.retryGranted());
+            record(EventType.RETRY_STARTED, Map.of("after", describe(result), "granted", granted));
             mSpec = mSpec.repeated(load.retryGranted());
             place(result);
             return;
--- a/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
@@ -245,7 +245,8 @@
 
     private void finish(CallResult result) {
         mDone = true;
-        if (!(result instanceof CallResult.Answered a) || a.notRun()) {
+        boolean granted = mayRepeat(result) && mOwner.grantRetry(mSpec);
+        if (!isEnded(result)) {
             mOwner.events()
                     .record(
                             EventType.REQUEST_REFUSED,
@@ -255,13 +256,17 @@
                                     "outcome", describe(result),
                                     "server", mServer.serverId(),
                                     "operation", mSpec.operation(),
+                                    "retry", granted ? "granted" : "not granted",
                                     "load", Double.toString(mAdmission.load())));
         }
         LoadReport report = mOwner.report(mSpec, mAdmission);
-        boolean granted = mayRepeat(result) && mOwner.grantRetry(mSpec);
         mListener.done(result, granted ? report.withRetry() : report);
     }
 
+    private static boolean isEnded(CallResult result) {
+        return result instanceof CallResult.Answered a && a.run() == Run.ENDED;
+    }
+
     /** A second failure is not repeated here: most routes allow two attempts. */
     private boolean mayRepeat(CallResult result) {
         if (mSpec.retry() || mSpec.deadlineNanos() - mOwner.time().nanos() < WORTH_A_RETRY_NANOS) {
@@ -280,6 +285,7 @@
         if (result instanceof CallResult.MaybeRun m) {
             return "maybe-run: " + m.reason();
         }
-        return "refused by the server";
+        boolean failed = result instanceof CallResult.Answered a && a.run() == Run.FAILED;
+        return failed ? "failed by the server" : "refused by the server";
     }
 }
