Tell chains the level of the calls that they make

Change: a service tells two levels, of all its work and of the calls of running requests, each from its own demand and service times; a chain is refused by the level of the calls that it makes. Ruled out: taking the refusal at the entry away, since calls that do not fit run out of time in the middle of their chains (DeepChainTest, which now plays with the level of calls and keeps its bounds).

--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -49,10 +49,12 @@
     private final Tuning mTuning;
     private final PartnerTable mPartners = new PartnerTable();
     private final DemandEstimate mDemand = new DemandEstimate();
+    private final DemandEstimate mCallDemand = new DemandEstimate();
     private final Map<Work, Waiting> mQueued = new HashMap<>();
     private final Map<Work, Waiting> mRunning = new HashMap<>();
     private final ConcurrencyLimit mLimit;
     private final ServiceTimes mTimes;
+    private final ServiceTimes mCallTimes;
     private final WorkQueue mQueue;
     private final WaitBound mWaitBound;
     private final CapacityOffer mOffer;
@@ -61,7 +63,7 @@
     private long mSequence;
     private long mWindowStart;
     private long mLastTick;
-    private volatile Map<PartnerClass, Double> mFractions = Map.of();
+    private volatile FractionPlan.Fractions mFractions = FractionPlan.Fractions.NONE;
     private volatile List<Loan> mLoans = List.of();
 
     /**
@@ -119,6 +121,7 @@
         long now = time.nanos();
         mLimit = new ConcurrencyLimit(slots, now);
         mTimes = new ServiceTimes(now);
+        mCallTimes = new ServiceTimes(now);
         mQueue = new WorkQueue(tuning.order());
         mWaitBound = new WaitBound(tuning, slots, now);
         mOffer = new CapacityOffer(tuning);
@@ -145,7 +148,11 @@
         long now = mTime.nanos();
         PartnerState p = mPartners.of(w.partner(), now);
         p.arrived(w.workClass().ordinal(), now);
-        mDemand.arrived(new PartnerClass(p.name(), w.workClass()), w.entryFraction());
+        PartnerClass key = new PartnerClass(p.name(), w.workClass());
+        mDemand.arrived(key, w.entryFraction());
+        if (w.inProgress()) {
+            mCallDemand.arrived(key, w.entryFraction());
+        }
         Waiting waiting = new Waiting(w, p, now, mSequence++);
         if (isLate(waiting, expectedWait(waiting, now), now)) {
             refuse(waiting, RefusalReason.DEADLINE_EXCEEDED, now);
@@ -175,6 +182,9 @@
         running.partner().usage(running.classIndex()).end(now);
         if (c.outcome() != Completion.Outcome.SERVER_REFUSED) {
             mTimes.add(running, c.totalNanos(), now);
+            if (w.inProgress()) {
+                mCallTimes.add(running, c.totalNanos(), now);
+            }
         }
         mLimit.completed(c, mRunning.size());
         dispatch(now);
@@ -233,7 +243,17 @@
      * @return an immutable snapshot
      */
     public Map<PartnerClass, Double> fractions() {
-        return mFractions;
+        return mFractions.ofAll();
+    }
+
+    /**
+     * Returns the admitted fractions of chains whose running requests make calls here. Their calls
+     * go first in their class, so other work alone does not limit them.
+     *
+     * @return the fractions below 1
+     */
+    public Map<PartnerClass, Double> callFractions() {
+        return mFractions.ofCalls();
     }
 
     /**
@@ -360,7 +380,7 @@
 
     private double fraction(PartnerState p, int classIndex) {
         WorkClass c = WorkClass.values()[classIndex];
-        return mFractions.getOrDefault(new PartnerClass(p.name(), c), 1.0);
+        return mFractions.ofAll().getOrDefault(new PartnerClass(p.name(), c), 1.0);
     }
 
     private RefusalReason shedReason(Waiting w, long now) {
@@ -408,21 +428,30 @@
         double seconds = (now - mWindowStart) / 1e9;
         mWindowStart = now;
         mTimes.roll(now);
+        mCallTimes.roll(now);
         mLimit.roll(now);
         mDemand.roll(seconds);
+        mCallDemand.roll(seconds);
         mPartners.dropIdle(now);
         double capacity = mOffer.roll(limit(), mWaitBound.targetNanos(meanNanos(now)));
-        mFractions = FractionPlan.compute(mPartners, this::demand, limit(), capacity, now);
+        mFractions =
+                FractionPlan.compute(
+                        mPartners,
+                        k -> demand(k, mDemand, mTimes),
+                        k -> demand(k, mCallDemand, mCallTimes),
+                        limit(),
+                        capacity,
+                        now);
         mLoans = mLoanBook.update(limit(), now);
     }
 
-    private Demand demand(PartnerClass key) {
-        DemandWindow window = mDemand.windows().get(key);
+    private Demand demand(PartnerClass key, DemandEstimate estimate, ServiceTimes times) {
+        DemandWindow window = estimate.windows().get(key);
         if (window == null) {
             return Demand.NONE;
         }
         boolean busy = !mRunning.isEmpty();
-        double mean = mTimes.mean(key.workClass().ordinal(), busy, mTime.nanos());
+        double mean = times.mean(key.workClass().ordinal(), busy, mTime.nanos());
         double slotsPerRate = mean / TimeUnit.SECONDS.toNanos(1);
         return new Demand(window.rate() * slotsPerRate, window.error() * slotsPerRate);
     }
--- a/core/src/main/java/io/azurestage/core/admission/FractionPlan.java
+++ b/core/src/main/java/io/azurestage/core/admission/FractionPlan.java
@@ -12,18 +12,24 @@
     static final double MIN_FRACTION = 0.01;
 
     private final List<PartnerState> mPartners;
-    private final Function<PartnerClass, Demand> mDemand;
     private final int mLimit;
     private final long mNowNanos;
-    private final Map<PartnerClass, Double> mFractions = new HashMap<>();
+    private final Map<PartnerClass, Double> mOfAll = new HashMap<>();
+    private final Map<PartnerClass, Double> mOfCalls = new HashMap<>();
 
-    private FractionPlan(
-            PartnerTable partners,
-            Function<PartnerClass, Demand> demand,
-            int limit,
-            long nowNanos) {
+    /**
+     * Admitted fractions below 1.
+     *
+     * @param ofAll of all work
+     * @param ofCalls of chains whose running requests make calls here, which go first in their
+     *     class
+     */
+    record Fractions(Map<PartnerClass, Double> ofAll, Map<PartnerClass, Double> ofCalls) {
+        static final Fractions NONE = new Fractions(Map.of(), Map.of());
+    }
+
+    private FractionPlan(PartnerTable partners, int limit, long nowNanos) {
         mPartners = List.copyOf(partners.all());
-        mDemand = demand;
         mLimit = limit;
         mNowNanos = nowNanos;
     }
@@ -33,34 +39,41 @@
      *
      * @param partners the partners and their shares
      * @param demand demand of a partner and class
+     * @param calls the part of it that calls of running requests make
      * @param limit concurrency limit, of which the floors are parts
      * @param capacity slots to divide
      * @param nowNanos monotonic time
-     * @return an immutable map of the fractions below 1
+     * @return the fractions
      */
-    static Map<PartnerClass, Double> compute(
+    static Fractions compute(
             PartnerTable partners,
             Function<PartnerClass, Demand> demand,
+            Function<PartnerClass, Demand> calls,
             int limit,
             double capacity,
             long nowNanos) {
-        FractionPlan plan = new FractionPlan(partners, demand, limit, nowNanos);
+        FractionPlan plan = new FractionPlan(partners, limit, nowNanos);
         double left = capacity;
         for (WorkClass workClass : WorkClass.values()) {
-            left -= plan.divide(workClass, Math.max(0, left));
+            plan.divide(workClass, Math.max(0, left), calls, plan.mOfCalls);
+            left -= plan.divide(workClass, Math.max(0, left), demand, plan.mOfAll);
         }
-        return Map.copyOf(plan.mFractions);
+        return new Fractions(Map.copyOf(plan.mOfAll), Map.copyOf(plan.mOfCalls));
     }
 
     /** Divides what the more important classes leave, and returns how much of it is used. */
-    private double divide(WorkClass workClass, double capacity) {
+    private double divide(
+            WorkClass workClass,
+            double capacity,
+            Function<PartnerClass, Demand> demand,
+            Map<PartnerClass, Double> fractions) {
         int n = mPartners.size();
         Demand[] demands = new Demand[n];
         double[] claims = new double[n];
         double[] weights = new double[n];
         for (int i = 0; i < n; i++) {
             PartnerState p = mPartners.get(i);
-            demands[i] = mDemand.apply(new PartnerClass(p.name(), workClass));
+            demands[i] = demand.apply(new PartnerClass(p.name(), workClass));
             claims[i] = Math.max(demands[i].slots(), unlentFloor(p, workClass));
             weights[i] = p.share();
         }
@@ -70,7 +83,7 @@
             used += Math.min(allotted[i], demands[i].slots());
             if (demands[i].surely() > allotted[i]) {
                 double fraction = Math.max(MIN_FRACTION, allotted[i] / demands[i].slots());
-                mFractions.put(new PartnerClass(mPartners.get(i).name(), workClass), fraction);
+                fractions.put(new PartnerClass(mPartners.get(i).name(), workClass), fraction);
             }
         }
         return used;
--- a/core/src/main/java/io/azurestage/core/admission/ServiceLevel.java
+++ b/core/src/main/java/io/azurestage/core/admission/ServiceLevel.java
@@ -12,6 +12,17 @@
  */
 public record ServiceLevel(String service, WorkClass workClass, double fraction) {
 
+    /**
+     * Names the calls that running requests make to a service, which go before requests that start
+     * there and so have a level of their own.
+     *
+     * @param service the service
+     * @return the name under which the level of its calls is told
+     */
+    public static String callsTo(String service) {
+        return service + "/calls";
+    }
+
     /** Written out, because generated methods of records are slow where only C1 compiles. */
     @Override
     public boolean equals(Object o) {
--- a/core/src/test/java/io/azurestage/core/admission/ChainSimulation.java
+++ b/core/src/test/java/io/azurestage/core/admission/ChainSimulation.java
@@ -81,7 +81,8 @@
         private void answer() {
             List<ServiceLevel> levels = new ArrayList<>();
             for (WorkClass c : WorkClass.values()) {
-                double f = mController.fractions().getOrDefault(new PartnerClass(PARTNER, c), 1.0);
+                double f =
+                        mController.callFractions().getOrDefault(new PartnerClass(PARTNER, c), 1.0);
                 levels.add(new ServiceLevel(SERVICE, c, f));
             }
             after(WAY, () -> mEntry.learn(key(mKind), levels));
--- a/relay/src/main/java/io/azurestage/relay/owner/Owner.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/Owner.java
@@ -78,7 +78,8 @@
      * Levels as they were put together for an operation. The list stays the same object while its
      * content does.
      */
-    private record Levels(Map<PartnerClass, Double> own, List<ServiceLevel> all, long atNanos) {}
+    private record Levels(
+            String level, Map<PartnerClass, Double> own, List<ServiceLevel> all, long atNanos) {}
 
     private final EventLoop mLoop;
     private final TimeSource mTime;
@@ -270,7 +271,12 @@
 
     LoadReport report(CallSpec spec, AdmissionController admission) {
         ChainKey key = chain(spec);
-        List<ServiceLevel> levels = levels(key, admission.fractions());
+        boolean calls = spec.inProgress();
+        List<ServiceLevel> levels =
+                levels(
+                        key,
+                        calls ? ServiceLevel.callsTo(key.service()) : key.service(),
+                        calls ? admission.callFractions() : admission.fractions());
         double below = mCalls.callsPerRequest(key) * (1 + mBelow.getOrDefault(key, 0.0));
         boolean byServers = mCallers.isCalledByServers(spec.operation(), mNodesByService.get());
         if (byServers) {
@@ -279,28 +285,29 @@
         return new LoadReport(admission.load(), mFaults.rate(), levels, below, byServers, false);
     }
 
-    private List<ServiceLevel> levels(ChainKey key, Map<PartnerClass, Double> own) {
+    private List<ServiceLevel> levels(ChainKey key, String level, Map<PartnerClass, Double> own) {
         long now = mTime.nanos();
         Levels known = mLevelsOf.get(key.operation());
-        if (known != null && known.own == own && now - known.atNanos < LEVELS_NANOS) {
+        boolean same = known != null && known.level.equals(level) && known.own == own;
+        if (same && now - known.atNanos < LEVELS_NANOS) {
             return known.all;
         }
-        List<ServiceLevel> all = gather(key, own);
+        List<ServiceLevel> all = gather(key, level, own);
         if (known != null && known.all.equals(all)) {
             all = known.all;
         }
         if (mLevelsOf.size() >= MAX_OPERATIONS) {
             mLevelsOf.clear();
         }
-        mLevelsOf.put(key.operation(), new Levels(own, all, now));
+        mLevelsOf.put(key.operation(), new Levels(level, own, all, now));
         return all;
     }
 
-    private List<ServiceLevel> gather(ChainKey key, Map<PartnerClass, Double> own) {
+    private List<ServiceLevel> gather(ChainKey key, String level, Map<PartnerClass, Double> own) {
         List<ServiceLevel> all = new ArrayList<>();
         for (WorkClass c : WorkClass.values()) {
             double f = own.getOrDefault(new PartnerClass(PARTNER, c), 1.0);
-            all.add(new ServiceLevel(key.service(), c, f));
+            all.add(new ServiceLevel(level, c, f));
         }
         for (WorkClass c : WorkClass.values()) {
             ChainKey ofClass = new ChainKey(key.service(), key.operation(), PARTNER, c);
