--- a/core/src/main/java/io/azurestage/core/admission/RecentTimes.java
+++ b/core/src/main/java/io/azurestage/core/admission/RecentTimes.java
@@ -15,7 +15,7 @@
     private static final double MEDIAN = 0.5;
     private static final long YOUNG_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /** Sorting for each piece of work that arrives, waits and starts took longer than the rest. */
+    /** Work is judged when it arrives, waits and starts; the samples change little in between. */
     private static final long REUSED_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
     private final long[] mHeld = new long[SAMPLES];
--- a/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
+++ b/core/src/main/java/io/azurestage/core/calls/CallAttribution.java
@@ -83,23 +83,21 @@
             mSureCalls.replaceAll((op, n) -> n * keep);
         }
 
-        private boolean runs(CallSource s) {
+        /** Two requests may be alike in all fields, so the very one is looked for. */
+        private int indexOf(CallSource s) {
             for (int i = 0; i < mRunning.size(); i++) {
                 if (mRunning.get(i) == s) {
-                    return true;
+                    return i;
                 }
             }
-            return false;
+            return -1;
         }
 
-        /** Two requests may be alike in all fields, so the very one is looked for. */
         private void remove(CallSource s) {
-            for (int i = 0; i < mRunning.size(); i++) {
-                if (mRunning.get(i) == s) {
-                    mRunning.remove(i);
-                    mFailed.remove(s);
-                    return;
-                }
+            int at = indexOf(s);
+            if (at >= 0) {
+                mRunning.remove(at);
+                mFailed.remove(s);
             }
         }
 
@@ -169,7 +167,7 @@
      */
     public void callFailed(CallSource parent) {
         Chain c = mChains.get(parent.chain().operation());
-        if (c != null && c.runs(parent)) {
+        if (c != null && c.indexOf(parent) >= 0) {
             c.mFailed.add(parent);
         } else {
             mFailedInDoubt = mTime.nanos();
--- a/core/src/main/java/io/azurestage/core/routing/Server.java
+++ b/core/src/main/java/io/azurestage/core/routing/Server.java
@@ -18,7 +18,7 @@
     private static final double MAX_FAULTS = 0.95;
     private static final long LOAD_LIFE_NANOS = Duration.ofSeconds(5).toNanos();
 
-    private record Load(double value, long at) {}
+    private record Reading(double value, long at) {}
 
     final AtomicInteger mInFlight = new AtomicInteger();
     final FailureWindow mFailures = new FailureWindow();
@@ -31,8 +31,8 @@
 
     private final long mBorn;
     private final long mWarmUp;
-    private volatile Load mLoad = new Load(NEUTRAL_LOAD, 0);
-    private volatile Load mFaults = new Load(0, 0);
+    private volatile Reading mLoad = new Reading(NEUTRAL_LOAD, 0);
+    private volatile Reading mFaults = new Reading(0, 0);
 
     /**
      * Creates the state of a server that was not known before.
@@ -47,7 +47,7 @@
     }
 
     void reportFaults(double rate, long now) {
-        mFaults = new Load(Math.max(0, Math.min(MAX_FAULTS, rate)), now);
+        mFaults = new Reading(Math.max(0, Math.min(MAX_FAULTS, rate)), now);
     }
 
     /** Attempts that fail on average before one at this server does not. */
@@ -61,12 +61,12 @@
     }
 
     void report(double load, long now) {
-        mLoad = new Load(Math.min(load, MAX_LOAD), now);
+        mLoad = new Reading(Math.min(load, MAX_LOAD), now);
     }
 
     /** A refusal is this node's own evidence that the server has no free slot. */
     void refused(long now) {
-        mLoad = new Load(MAX_LOAD, now);
+        mLoad = new Reading(MAX_LOAD, now);
     }
 
     /**
@@ -93,7 +93,7 @@
     }
 
     private double faults(long now) {
-        Load f = mFaults;
+        Reading f = mFaults;
         return f.value() * Math.max(0, 1 - (double) (now - f.at()) / LOAD_LIFE_NANOS);
     }
 
@@ -104,7 +104,7 @@
 
     /** Ages the last report towards a neutral value, so that a server is never judged for long. */
     private double load(long now) {
-        Load l = mLoad;
+        Reading l = mLoad;
         double fresh = Math.max(0, 1 - (double) (now - l.at()) / LOAD_LIFE_NANOS);
         return NEUTRAL_LOAD + (l.value() - NEUTRAL_LOAD) * fresh;
     }
