Do not take the absence of calls for a slow server

Cause: the level of calls kept a second pair of rates and service times beside those of all work, but the restart of the stall detection, when work begins after a pause, reached only the first pair. Ruled out: short calls, which end within a window.

Change: OfferedWork holds rate, times and running count of one kind of work, used for all work and for calls, so both start and end alike; the controller keeps no parallel fields.

--- a/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/azurestage/core/admission/AdmissionController.java
@@ -48,13 +48,14 @@
     private final TimeSource mTime;
     private final Tuning mTuning;
     private final PartnerTable mPartners = new PartnerTable();
-    private final DemandEstimate mDemand = new DemandEstimate();
-    private final DemandEstimate mCallDemand = new DemandEstimate();
     private final Map<Work, Waiting> mQueued = new HashMap<>();
     private final Map<Work, Waiting> mRunning = new HashMap<>();
     private final ConcurrencyLimit mLimit;
-    private final ServiceTimes mTimes;
-    private final ServiceTimes mCallTimes;
+    private final OfferedWork mAll;
+
+    /** The part of it that calls of running requests make. */
+    private final OfferedWork mCalls;
+
     private final WorkQueue mQueue;
     private final WaitBound mWaitBound;
     private final CapacityOffer mOffer;
@@ -120,8 +121,8 @@
         mTuning = tuning;
         long now = time.nanos();
         mLimit = new ConcurrencyLimit(slots, now);
-        mTimes = new ServiceTimes(now);
-        mCallTimes = new ServiceTimes(now);
+        mAll = new OfferedWork(now);
+        mCalls = new OfferedWork(now);
         mQueue = new WorkQueue(tuning.order());
         mWaitBound = new WaitBound(tuning, slots, now);
         mOffer = new CapacityOffer(tuning);
@@ -149,9 +150,9 @@
         PartnerState p = mPartners.of(w.partner(), now);
         p.arrived(w.workClass().ordinal(), now);
         PartnerClass key = new PartnerClass(p.name(), w.workClass());
-        mDemand.arrived(key, w.entryFraction());
+        mAll.arrived(key, w.entryFraction());
         if (w.inProgress()) {
-            mCallDemand.arrived(key, w.entryFraction());
+            mCalls.arrived(key, w.entryFraction());
         }
         Waiting waiting = new Waiting(w, p, now, mSequence++);
         if (isLate(waiting, expectedWait(waiting, now), now)) {
@@ -180,11 +181,9 @@
         }
         long now = mTime.nanos();
         running.partner().usage(running.classIndex()).end(now);
-        if (c.outcome() != Completion.Outcome.SERVER_REFUSED) {
-            mTimes.add(running, c.totalNanos(), now);
-            if (w.inProgress()) {
-                mCallTimes.add(running, c.totalNanos(), now);
-            }
+        mAll.ended(running, c, now);
+        if (w.inProgress()) {
+            mCalls.ended(running, c, now);
         }
         mLimit.completed(c, mRunning.size());
         dispatch(now);
@@ -326,10 +325,11 @@
     private void start(Waiting w, long now) {
         mQueue.remove(w);
         mQueued.remove(w.work());
-        if (mRunning.isEmpty()) {
-            mTimes.busy(now);
-        }
         mRunning.put(w.work(), w);
+        mAll.started(now);
+        if (w.work().inProgress()) {
+            mCalls.started(now);
+        }
         w.partner().usage(w.classIndex()).start(now);
         w.work().listener().run();
     }
@@ -411,7 +411,7 @@
     }
 
     private boolean isLate(Waiting w, double waitNanos, long now) {
-        double needed = mTimes.forDeadline(w, !mRunning.isEmpty(), now) + waitNanos;
+        double needed = mAll.forDeadline(w, now) + waitNanos;
         long left = w.work().deadlineNanos() - now;
         return left <= 0 || left < needed;
     }
@@ -421,38 +421,25 @@
     }
 
     private double meanNanos(long now) {
-        return mTimes.mean(!mRunning.isEmpty(), now);
+        return mAll.meanNanos(now);
     }
 
     private void roll(long now) {
         double seconds = (now - mWindowStart) / 1e9;
         mWindowStart = now;
-        mTimes.roll(now);
-        mCallTimes.roll(now);
+        mAll.roll(seconds, now);
+        mCalls.roll(seconds, now);
         mLimit.roll(now);
-        mDemand.roll(seconds);
-        mCallDemand.roll(seconds);
         mPartners.dropIdle(now);
         double capacity = mOffer.roll(limit(), mWaitBound.targetNanos(meanNanos(now)));
         mFractions =
                 FractionPlan.compute(
                         mPartners,
-                        k -> demand(k, mDemand, mTimes),
-                        k -> demand(k, mCallDemand, mCallTimes),
+                        k -> mAll.demand(k, now),
+                        k -> mCalls.demand(k, now),
                         limit(),
                         capacity,
                         now);
         mLoans = mLoanBook.update(limit(), now);
     }
-
-    private Demand demand(PartnerClass key, DemandEstimate estimate, ServiceTimes times) {
-        DemandWindow window = estimate.windows().get(key);
-        if (window == null) {
-            return Demand.NONE;
-        }
-        boolean busy = !mRunning.isEmpty();
-        double mean = times.mean(key.workClass().ordinal(), busy, mTime.nanos());
-        double slotsPerRate = mean / TimeUnit.SECONDS.toNanos(1);
-        return new Demand(window.rate() * slotsPerRate, window.error() * slotsPerRate);
-    }
 }
--- a/core/src/test/java/io/azurestage/core/admission/CallLevelTest.java
+++ b/core/src/test/java/io/azurestage/core/admission/CallLevelTest.java
@@ -17,7 +17,6 @@
  */
 class CallLevelTest {
     private static final int SLOTS = 38;
-    private static final Duration CALL_TIME = Duration.ofMillis(15);
     private static final Duration REQUEST_TIME = Duration.ofMillis(240);
     private static final Duration TICK = Duration.ofMillis(10);
     private static final PartnerClass KEY = new PartnerClass("p", WorkClass.BROWSING);
@@ -30,6 +29,7 @@
     private final Random mRandom = new Random(9);
     private final PriorityQueue<Step> mSteps =
             new PriorityQueue<>(Comparator.comparingLong(Step::at));
+    private Duration mCallTime = Duration.ofMillis(15);
     private int mCalls;
     private int mRefusedCalls;
 
@@ -56,7 +56,7 @@
 
         @Override
         public void run() {
-            long held = (mCall ? CALL_TIME : REQUEST_TIME).toNanos();
+            long held = (mCall ? mCallTime : REQUEST_TIME).toNanos();
             Completion done = new Completion(held, held, Completion.Outcome.ANSWERED);
             after(held, () -> mController.complete(mWork, done));
         }
@@ -95,6 +95,10 @@
         tick();
         offer(true, calls);
         offer(false, requests);
+        run();
+    }
+
+    private void run() {
         long end = Duration.ofSeconds(5).toNanos();
         while (mSteps.peek().at() <= end) {
             Step s = mSteps.poll();
@@ -115,6 +119,39 @@
         }
     }
 
+    /** Calls that stay away for seconds, while the server is busy with requests of its own. */
+    @Nested
+    class CallsThatComeBack {
+        private static final int REQUESTS_PER_SECOND = 40;
+        private static final int CALLS_PER_SECOND = 50;
+        private double mLowest = 1;
+
+        private void watch() {
+            mLowest = Math.min(mLowest, mController.callFractions().getOrDefault(KEY, 1.0));
+            after(TICK.toNanos(), this::watch);
+        }
+
+        private void callsFor(double seconds) {
+            for (int i = 0; i < seconds * CALLS_PER_SECOND; i++) {
+                after(
+                        (long) (i * 1e9 / CALLS_PER_SECOND),
+                        () -> mController.offer(new Piece(true, 1).mWork));
+            }
+        }
+
+        @Test
+        void theirAbsenceIsNotTakenForASlowServer() {
+            mCallTime = Duration.ofMillis(300);
+            tick();
+            watch();
+            offer(false, REQUESTS_PER_SECOND);
+            callsFor(0.5);
+            after(Duration.ofSeconds(4).toNanos(), () -> callsFor(0.5));
+            run();
+            assertThat(mLowest).isEqualTo(1);
+        }
+    }
+
     @Nested
     class CallsThatDoNotFit {
         @Test
