Count a server's faults at one place, and build test calls at one place

Found when reading the change once more: four calls beside releases of the slot told the fault rate what the result already says, outcomes of the metrics were bare indices, and two tests built the same call with 18 arguments, both edited by each new field.

Change: OwnedCall.finish tells the rate, RelayMetrics names its outcomes, TestCalls builds the call. No assertion changes; the tests of core, relay and platform pass.

--- a/relay/src/main/java/io/azurestage/relay/RelayMetrics.java
+++ b/relay/src/main/java/io/azurestage/relay/RelayMetrics.java
@@ -22,10 +22,22 @@
     };
 
     private static final WorkClass[] CLASSES = WorkClass.values();
-    private static final String[] OUTCOMES = {"success", "client_error", "server_error"};
     private static final int SERVER_ERRORS = 500;
     private static final int CLIENT_ERRORS = 400;
 
+    private enum Outcome {
+        SUCCESS,
+        CLIENT_ERROR,
+        SERVER_ERROR;
+
+        static Outcome of(int status) {
+            if (status >= SERVER_ERRORS) {
+                return SERVER_ERROR;
+            }
+            return status >= CLIENT_ERRORS ? CLIENT_ERROR : SUCCESS;
+        }
+    }
+
     private final PrometheusRegistry mRegistry = new PrometheusRegistry();
     private final Counter mRequests =
             counter("azurestage_requests_total", "answers to callers", "work_class", "outcome");
@@ -48,9 +60,9 @@
     /** Creates metrics that are all zero. */
     public RelayMetrics() {
         for (WorkClass c : CLASSES) {
-            CounterDataPoint[] byOutcome = new CounterDataPoint[OUTCOMES.length];
-            for (int i = 0; i < OUTCOMES.length; i++) {
-                byOutcome[i] = mRequests.labelValues(name(c), OUTCOMES[i]);
+            CounterDataPoint[] byOutcome = new CounterDataPoint[Outcome.values().length];
+            for (Outcome o : Outcome.values()) {
+                byOutcome[o.ordinal()] = mRequests.labelValues(name(c), name(o));
             }
             mRequestsOf[c.ordinal()] = byOutcome;
             mSecondsOf[c.ordinal()] = mSeconds.labelValues(name(c));
@@ -66,13 +78,7 @@
      * @param took time since the request came
      */
     public void answered(WorkClass workClass, int status, Duration took) {
-        int outcome = 0;
-        if (status >= SERVER_ERRORS) {
-            outcome = 2;
-        } else if (status >= CLIENT_ERRORS) {
-            outcome = 1;
-        }
-        mRequestsOf[workClass.ordinal()][outcome].inc();
+        mRequestsOf[workClass.ordinal()][Outcome.of(status).ordinal()].inc();
         mSecondsOf[workClass.ordinal()].observe(seconds(took));
     }
 
@@ -151,7 +157,7 @@
                 .register(mRegistry);
     }
 
-    private static String name(WorkClass c) {
+    private static String name(Enum<?> c) {
         return c.name().toLowerCase(Locale.ROOT);
     }
 
--- a/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/OwnedCall.java
@@ -193,7 +193,6 @@
             release(Completion.Outcome.FAILED);
             finish(new CallResult.NotRun(n.reason(), COME_BACK, true));
         } else if (result instanceof OutboundResult.Lost l) {
-            mOwner.ended(true);
             release(Completion.Outcome.FAILED);
             finish(new CallResult.MaybeRun(l.reason()));
         }
@@ -204,21 +203,18 @@
                 a.status() == MISDIRECTED
                         || Fields.first(a.fields(), mOwner.names().notRun()).isPresent();
         if (notRun) {
-            mOwner.ended(true);
             release(Completion.Outcome.SERVER_REFUSED);
             finish(new CallResult.Answered(a.status(), a.fields(), a.body(), Run.REFUSED));
             return;
         }
         boolean signed = Fields.first(a.fields(), mOwner.names().signature()).isPresent();
         if (isSuccess(a.status()) && !signed) {
-            mOwner.ended(true);
             release(Completion.Outcome.FAILED);
             finish(new CallResult.MaybeRun("the answer bears no signature of the server"));
             return;
         }
         release(Completion.Outcome.ANSWERED);
         boolean failed = isFailure(a.status()) && !callFailed;
-        mOwner.ended(failed);
         Run run = failed ? Run.FAILED : Run.ENDED;
         finish(new CallResult.Answered(a.status(), a.fields(), a.body(), run));
     }
@@ -245,6 +241,9 @@
 
     private void finish(CallResult result) {
         mDone = true;
+        if (!(result instanceof CallResult.NotRun)) {
+            mOwner.ended(!isEnded(result));
+        }
         boolean granted = mayRepeat(result) && mOwner.grantRetry(mSpec);
         if (!isEnded(result)) {
             mOwner.events()
--- a/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.azurestage.config.WorkClass;
 import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.backend.BackendState;
 import io.azurestage.core.backend.EntryTable;
@@ -14,6 +13,7 @@
 import io.azurestage.core.time.ManualTimeSource;
 import io.azurestage.mesh.Address;
 import io.azurestage.relay.Loop;
+import io.azurestage.relay.TestCalls;
 import io.azurestage.relay.call.CallSpec;
 import io.azurestage.relay.call.CallTarget;
 import io.azurestage.relay.link.LinkClient;
@@ -66,25 +66,7 @@
     }
 
     private static CallSpec call() {
-        return new CallSpec(
-                "id",
-                "GET",
-                "/",
-                "h",
-                List.of(),
-                new byte[0],
-                Long.MAX_VALUE,
-                "books",
-                "op",
-                WorkClass.NORMAL,
-                0.5,
-                1,
-                false,
-                false,
-                false,
-                false,
-                true,
-                "caller");
+        return TestCalls.first("books", new byte[0], Long.MAX_VALUE, true);
     }
 
     private static Versioned entryOf(String node, String link, String service) {
--- a/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
@@ -2,10 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.azurestage.config.WorkClass;
 import io.azurestage.core.context.NodeIdentity;
 import io.azurestage.core.time.TimeSource;
 import io.azurestage.relay.Loop;
+import io.azurestage.relay.TestCalls;
 import io.azurestage.relay.call.CallHandle;
 import io.azurestage.relay.call.CallListener;
 import io.azurestage.relay.call.CallResult;
@@ -93,25 +93,8 @@
     }
 
     private static CallSpec spec(byte[] body, boolean idempotent) {
-        return new CallSpec(
-                "id",
-                "POST",
-                "/x/",
-                "h",
-                List.of(),
-                body,
-                System.nanoTime() + TimeUnit.SECONDS.toNanos(30),
-                "s",
-                "op",
-                WorkClass.NORMAL,
-                0.5,
-                1,
-                false,
-                false,
-                false,
-                false,
-                idempotent,
-                "caller");
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        return TestCalls.first("s", body, deadline, idempotent);
     }
 
     private CompletableFuture<CallResult> start(LinkClient c, byte[] body) throws Exception {
