--- a/core/src/main/java/io/azurestage/core/quota/QuotaReport.java
+++ b/core/src/main/java/io/azurestage/core/quota/QuotaReport.java
@@ -13,8 +13,8 @@
  * @param rate requests per second that the node may admit at present, infinite if the partner is
  *     below its limit
  * @param share the node's share of the partner's rate in the last grant, or the equal share
- * @param level level of the token bucket in the last grant, which an owner that takes over goes on
- *     from; infinite if the node has had no grant
+ * @param level level of the token bucket in the last grant, from which an owner that takes over
+ *     goes on; infinite if the node has had no grant
  */
 public record QuotaReport(
         String partner,
