Spread a quota's slack over the window instead of adding it to the burst

Ruled out: the level being unknown (the fractions in QUOTA_EXCEEDED follow the debt), excess of the owner's credit.

Change: the half of the slack that is spent on purpose raises the refill rate of the bucket instead of its capacity; the sum over a window is the same.

--- a/core/src/main/java/io/azurestage/core/quota/PartnerAccount.java
+++ b/core/src/main/java/io/azurestage/core/quota/PartnerAccount.java
@@ -173,13 +173,15 @@
         n.mHeardNanos = nowNanos;
     }
 
+    /** The slack of a window is spread over it, so that it serves a lasting demand. */
     private double refillRate() {
-        return mLimit.ratePerSecond() * (1 + SPENT_TOLERANCE_PART * mBounds.overage());
+        double windowSeconds = mBounds.window().toNanos() / NANOS_PER_SECOND;
+        return mLimit.ratePerSecond() * (1 + SPENT_TOLERANCE_PART * mBounds.overage())
+                + SPENT_TOLERANCE_PART * mBounds.slack() / windowSeconds;
     }
 
     private double capacity() {
-        return mLimit.burst() * (1 + SPENT_TOLERANCE_PART * mBounds.overage())
-                + SPENT_TOLERANCE_PART * mBounds.slack();
+        return mLimit.burst() * (1 + SPENT_TOLERANCE_PART * mBounds.overage());
     }
 
     private void refill(long nowNanos) {
