--- a/bench/src/main/java/io/azurestage/bench/DemoPlan.java
+++ b/bench/src/main/java/io/azurestage/bench/DemoPlan.java
@@ -64,14 +64,7 @@
                         flow(OTHER, CallClass.NORMAL, "GET", "/checks", 8, 8, 0),
                         flow(OTHER, CallClass.BROWSING, "GET", "/catalogue", 8, 8, 0),
                         flow(SURGING, CallClass.CRITICAL, "POST", "/bookings", 5, 15, 0),
-                        flow(
-                                SURGING,
-                                CallClass.NORMAL,
-                                "GET",
-                                "/checks",
-                                8,
-                                60,
-                                IMPATIENT_RETRIES),
+                        flow(SURGING, CallClass.NORMAL, "GET", "/checks", 8, 60, IMPATIENT_RETRIES),
                         flow(
                                 SURGING,
                                 CallClass.BROWSING,
--- a/cli/src/main/java/io/azurestage/cli/FailureExplanation.java
+++ b/cli/src/main/java/io/azurestage/cli/FailureExplanation.java
@@ -16,6 +16,21 @@
 
     private static final List<Row> EXPLANATIONS =
             List.of(
+                    row(
+                            "no-key",
+                            "it carried no access key and its route needs one, so its entry node"
+                                    + " refused it and it was not run"),
+                    row(
+                            "unknown-key",
+                            "no partner holds its access key in configuration version"
+                                    + " {configVersion}, which its entry node used; it was not"
+                                    + " run"),
+                    row(
+                            "over-quota",
+                            "partner {partner} was over its limit of {limit} requests per second,"
+                                    + " which had room for {fraction} of the requests as known"
+                                    + " {grantAgeMillis} ms before; it was not run, and the caller"
+                                    + " was told to retry after {retryAfterMillis} ms"),
                     row(
                             "overload-below",
                             "a service in its call chain currently admits only {fraction} of this"
@@ -59,6 +74,17 @@
                             "the connection failed after it was sent; it may have run"),
                     row("timeout", "there was no response within the timeout of its route"));
 
+    private static final List<String> PLACEHOLDERS =
+            List.of(
+                    "fraction",
+                    "retryAfterMillis",
+                    "server",
+                    "load",
+                    "configVersion",
+                    "partner",
+                    "limit",
+                    "grantAgeMillis");
+
     private FailureExplanation() {}
 
     private static Row row(String reason, String sentence) {
@@ -89,7 +115,7 @@
 
     private static String fillPlaceholders(String sentence, LogLine line) {
         String s = sentence;
-        for (String name : List.of("fraction", "retryAfterMillis", "server", "load")) {
+        for (String name : PLACEHOLDERS) {
             String value = line.field(name);
             s = s.replace("{" + name + "}", value.isEmpty() ? "(unknown)" : value);
         }
--- a/cli/src/main/java/io/azurestage/cli/LogLine.java
+++ b/cli/src/main/java/io/azurestage/cli/LogLine.java
@@ -109,6 +109,8 @@
     /** Reports whether the event is the failure or cancellation of a request or attempt. */
     boolean isFailure() {
         return is(EventType.REQUEST_REFUSED)
+                || is(EventType.KEY_REFUSED)
+                || is(EventType.QUOTA_EXCEEDED)
                 || is(EventType.REQUEST_CANCELLED)
                 || is(EventType.ATTEMPT_FAILED);
     }
--- a/cli/src/test/java/io/azurestage/cli/ExplainTest.java
+++ b/cli/src/test/java/io/azurestage/cli/ExplainTest.java
@@ -178,6 +178,22 @@
             assertExplained("outcome=" + outcome);
         }
 
+        @ParameterizedTest
+        @CsvSource({
+            "'E212 KEY_REFUSED node=n id=r {configVersion=12, operation=read, reason=no-key}',"
+                    + " carried no access key",
+            "'E212 KEY_REFUSED node=n id=r {configVersion=12, operation=read, reason=unknown-key}',"
+                    + " version 12",
+            "'E213 QUOTA_EXCEEDED node=n id=r {fraction=0.300, grantAgeMillis=90, limit=35.0,"
+                    + " partner=hire-house, reason=over-quota, retryAfterMillis=400}',"
+                    + " hire-house",
+        })
+        void refusalOfPartnerIsExplained(String event, String expected) throws IOException {
+            Path log = log("a.log", line(1, event));
+            assertThat(explain("r", log)).isEqualTo(ExitCode.DONE);
+            assertThat(out()).contains(expected);
+        }
+
         @Test
         void timeoutIsExplained() {
             assertExplained("cause=timeout");
--- a/core/src/main/java/io/azurestage/core/quota/QuotaMeter.java
+++ b/core/src/main/java/io/azurestage/core/quota/QuotaMeter.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Decides at a node which requests of partners fit into their quotas.
@@ -80,6 +81,7 @@
         private long mReportedOffered;
         private long mAcknowledged;
         private long mSentNanos;
+        private long mGrantedNanos;
         private boolean mAwaitsGrant;
         private boolean mReported;
         private boolean mFallingSilent;
@@ -122,6 +124,14 @@
             return mOwn.take(mShare * OWN_RATE_PART * mLimit.ratePerSecond(), nowNanos);
         }
 
+        QuotaStatus status(long nowNanos) {
+            Duration age =
+                    mGrantedNanos == 0
+                            ? Duration.ZERO
+                            : Duration.ofNanos(Math.max(0, nowNanos - mGrantedNanos));
+            return new QuotaStatus(mFraction, mLimit.ratePerSecond(), age);
+        }
+
         boolean isUrgent() {
             return mAdmitted - mReportedAdmitted >= mCredit * URGENT_PART;
         }
@@ -248,14 +258,14 @@
     }
 
     /**
-     * Returns the fraction of a partner's requests that is admitted at present.
+     * Returns what is known of a partner's quota.
      *
      * @param partner name of the partner
-     * @return the last known fraction, 1 if the partner has no limit
+     * @return the status, or empty if the partner has no limit
      */
-    public double fraction(String partner) {
+    public Optional<QuotaStatus> status(String partner) {
         Account a = mAccounts.get(partner);
-        return a == null ? 1 : a.mFraction;
+        return a == null ? Optional.empty() : Optional.of(a.status(mTime.nanos()));
     }
 
     /**
@@ -310,6 +320,7 @@
         a.mAcknowledged = grant.acknowledged();
         a.mFraction = grant.fraction();
         a.mRate = grant.rate();
+        a.mGrantedNanos = mTime.nanos();
         a.mCredit = grant.credit();
         a.mShare = grant.share();
         a.mLevel = grant.level();
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryHandler.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryHandler.java
@@ -10,6 +10,7 @@
 import io.azurestage.core.partner.PartnerDirectory;
 import io.azurestage.core.partner.PartnerPolicy;
 import io.azurestage.core.partner.RankTable;
+import io.azurestage.core.quota.QuotaStatus;
 import io.azurestage.core.route.Route;
 import io.azurestage.core.route.RouteTable;
 import io.azurestage.core.route.SplitChooser;
@@ -259,17 +260,20 @@
     private void refuseOverQuota(
             InboundRequest request, Exchange exchange, Route route, String partner) {
         String id = Fields.first(request.fields(), mSettings.names().requestId()).orElse("");
-        double fraction = mQuotas.fraction(partner);
-        Duration retryAfter = Replies.retryAfter(fraction, order(id));
+        QuotaStatus status = mQuotas.status(partner).orElseThrow();
+        Duration retryAfter = Replies.retryAfter(status.fraction(), order(id));
         mMetrics.refused(OVER_QUOTA);
         mEvents.record(
                 EventType.QUOTA_EXCEEDED,
                 id,
                 "",
                 Map.of(
+                        "reason", OVER_QUOTA,
                         "partner", partner,
                         "operation", route.name(),
-                        "fraction", String.format(Locale.ROOT, "%.3f", fraction),
+                        "fraction", String.format(Locale.ROOT, "%.3f", status.fraction()),
+                        "limit", Double.toString(status.ratePerSecond()),
+                        "grantAgeMillis", Long.toString(status.grantAge().toMillis()),
                         "retryAfterMillis", Long.toString(retryAfter.toMillis())));
         exchange.reply(
                 Replies.retryLater(
--- a/relay/src/main/java/io/azurestage/relay/quota/QuotaExchange.java
+++ b/relay/src/main/java/io/azurestage/relay/quota/QuotaExchange.java
@@ -7,10 +7,12 @@
 import io.azurestage.core.quota.QuotaMeter;
 import io.azurestage.core.quota.QuotaOwners;
 import io.azurestage.core.quota.QuotaReport;
+import io.azurestage.core.quota.QuotaStatus;
 import io.azurestage.core.time.TimeSource;
 import io.azurestage.relay.link.QuotaPeer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 
@@ -92,13 +94,13 @@
     }
 
     /**
-     * Returns the fraction of a partner's requests that its limit has room for.
+     * Returns what is known of a partner's quota.
      *
      * @param partner name of the partner
-     * @return the last known fraction, in (0,1]
+     * @return the status, or empty if the partner has no limit
      */
-    public double fraction(String partner) {
-        return mMeter.fraction(partner);
+    public Optional<QuotaStatus> status(String partner) {
+        return mMeter.status(partner);
     }
 
     /** Sends the reports that are due. Call it every 100 ms. */
