Size a node's first credit by the nodes that it knows by then

Cause: the credit before the first grant was set when the configuration came, which may be before any other node is known: then one node counted on half of a quota's tolerance for itself. After a loss of power all nodes did.

Change: credit and share are set again with each change of the known nodes until there is a grant.

--- a/core/src/main/java/io/azurestage/core/quota/QuotaMeter.java
+++ b/core/src/main/java/io/azurestage/core/quota/QuotaMeter.java
@@ -215,7 +215,7 @@
 
     private void assignOwner(Account a) {
         String owner = mOwners.ownerOf(a.mPartner).orElse("");
-        if (a.mCredit == 0) {
+        if (a.mGrantedNanos == 0) {
             int nodes = Math.max(1, mOwners.nodes());
             double tolerance = FIRST_CREDIT_PART * mBounds.tolerance(a.mLimit);
             a.mCredit = Math.max(MIN_FIRST_CREDIT, tolerance / nodes);
--- a/core/src/test/java/io/azurestage/core/quota/QuotaTest.java
+++ b/core/src/test/java/io/azurestage/core/quota/QuotaTest.java
@@ -2,11 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.azurestage.core.partner.PartnerPolicy;
 import io.azurestage.core.partner.QuotaLimit;
 import io.azurestage.core.quota.QuotaSimulation.FixedPart;
 import io.azurestage.core.quota.QuotaSimulation.ReportAndFraction;
 import io.azurestage.core.quota.QuotaSimulation.Result;
+import io.azurestage.core.time.ManualTimeSource;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Group;
 import net.jqwik.api.Property;
@@ -106,6 +112,27 @@
         }
     }
 
+    @Nested
+    class Start {
+        /** A node may know the configuration before it knows the other nodes. */
+        @Test
+        void firstCreditFollowsTheNumberOfNodes() {
+            QuotaLimit limit = new QuotaLimit(35, 35);
+            QuotaMeter meter = new QuotaMeter(new ManualTimeSource(), QuotaSimulation.BOUNDS, 1);
+            PartnerPolicy partner =
+                    new PartnerPolicy("p", Set.of(), OptionalInt.empty(), Optional.of(limit));
+            meter.configure(List.of(partner));
+            List<String> nodes = IntStream.range(0, NODES).mapToObj(Integer::toString).toList();
+            meter.setOwners(new QuotaOwners(nodes));
+            int admitted = 0;
+            for (int i = 0; i < 50; i++) {
+                admitted += meter.admit("p") ? 1 : 0;
+            }
+            assertThat(admitted)
+                    .isLessThanOrEqualTo((int) (QuotaSimulation.BOUNDS.tolerance(limit) / 10));
+        }
+    }
+
     @Nested
     class Faults {
         /** The smallest partner is in QuotaKnownRed. */
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -176,22 +176,8 @@
         String link = hostPort(settings.linkAddress());
         String ownKey = NODE_ENTRY_PREFIX + link;
         mAnnouncer = new Announcer(loop, time, port.store(), ownKey, events);
-        mQuotas =
-                new QuotaExchange(
-                        time,
-                        settings.quotas(),
-                        settings.nodeId(),
-                        link,
-                        mIdentity.incarnation(),
-                        (owner, reports) -> directory().link(owner).sendReports(reports));
-        LinkSelf self =
-                new LinkSelf(
-                        mIdentity,
-                        new AtomicLong()::incrementAndGet,
-                        mConfigFeed::version,
-                        mConfigFeed::document,
-                        d -> mConfigFeed.offer(d, "node"),
-                        mQuotas);
+        mQuotas = quotaExchange(time, link);
+        LinkSelf self = linkSelf();
         mDirectory =
                 new FleetDirectory(
                         new ServerEntryTable(time, LAPSED_ENTRY_GRACE),
@@ -222,8 +208,24 @@
         mEntryKeyFeed = new PrefixFeed(loop, port.store(), NODE_ENTRY_PREFIX, mDirectory, events);
     }
 
-    private FleetDirectory directory() {
-        return mDirectory;
+    private QuotaExchange quotaExchange(TimeSource time, String link) {
+        return new QuotaExchange(
+                time,
+                mSettings.quotas(),
+                mSettings.nodeId(),
+                link,
+                mIdentity.incarnation(),
+                (owner, reports) -> mDirectory.link(owner).sendReports(reports));
+    }
+
+    private LinkSelf linkSelf() {
+        return new LinkSelf(
+                mIdentity,
+                new AtomicLong()::incrementAndGet,
+                mConfigFeed::version,
+                mConfigFeed::document,
+                d -> mConfigFeed.offer(d, "node"),
+                mQuotas);
     }
 
     private LinkClient linkClient(String address, LinkSelf self) {
