Split the meter of quotas by partner, and never reuse an epoch

A partner that was removed and added again started with the epoch it had; an owner that skipped the version in between would have taken its new totals for requests given back.

Change: PartnerMeter and RateTokens have files of their own; epochs are counted over all partners of a process.

QuotaTest.ReturningPartner guards the second point; it was written with the change and not run without it.

--- a/core/src/main/java/io/azurestage/core/quota/QuotaMeter.java
+++ b/core/src/main/java/io/azurestage/core/quota/QuotaMeter.java
@@ -1,9 +1,7 @@
 package io.azurestage.core.quota;
 
 import io.azurestage.core.partner.PartnerPolicy;
-import io.azurestage.core.partner.QuotaLimit;
 import io.azurestage.core.time.TimeSource;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -16,156 +14,19 @@
  * <p>The load pattern: many partners, each with few requests a second at a node, and now and then
  * one that sends many times its usual. A fixed part of the limit at each node would refuse clumps
  * of a few requests. So a node admits requests up to a credit before the owner knows of them, and
- * the fraction that the owner returned decides only while the partner is near its limit. A node
- * that gets no reply admits its share of the limit, which the owner keeps back for it. Not
+ * the rate that the owner returned binds only while the partner is near its limit. A node that gets
+ * no reply admits a part of its share of the rate, which the owner keeps back for it. Not
  * thread-safe.
  */
 public final class QuotaMeter {
-    /** Interval of the reports of a partner that is well below its limit. */
-    private static final Duration CALM_INTERVAL = Duration.ofSeconds(2);
-
-    /** Interval of the reports of a partner whose requests are refused in part. */
-    private static final Duration PRESSED_INTERVAL = Duration.ofMillis(200);
-
-    /** Time without a grant after which a report is sent again. */
-    private static final Duration REPEAT_INTERVAL = Duration.ofMillis(300);
-
-    /** Part of the credit after which a report is sent at once. */
-    private static final double URGENT_PART = 0.3;
-
-    /** Fewest requests that a node admits before a first grant. */
-    private static final double MIN_FIRST_CREDIT = 3;
-
-    /** Part of the tolerance that nodes without a grant may use together. */
-    private static final double FIRST_CREDIT_PART = 0.5;
-
     /** Part of its share of the rate that a node admits while the owner does not reply. */
     static final double OWN_RATE_PART = 0.8;
 
-    private static final double NANOS_PER_SECOND = 1e9;
-
-    /** Token bucket whose rate may change; it holds little, so that nodes do not save tokens. */
-    private static final class Tokens {
-        private static final double CAPACITY_SECONDS = 0.3;
-
-        private double mCount;
-        private long mUpdatedNanos;
-
-        void reset(long nowNanos) {
-            mCount = 0;
-            mUpdatedNanos = nowNanos;
-        }
-
-        boolean take(double ratePerSecond, long nowNanos) {
-            double elapsedSeconds = (nowNanos - mUpdatedNanos) / NANOS_PER_SECOND;
-            mUpdatedNanos = nowNanos;
-            double capacity = Math.max(1, ratePerSecond * CAPACITY_SECONDS);
-            mCount = Math.min(capacity, mCount + ratePerSecond * elapsedSeconds);
-            if (mCount < 1) {
-                return false;
-            }
-            mCount -= 1;
-            return true;
-        }
-    }
-
-    /** State of one partner. */
-    private static final class Account {
-        private final String mPartner;
-        private QuotaLimit mLimit;
-        private String mOwner = "";
-        private long mEpoch;
-        private long mAdmitted;
-        private long mOffered;
-        private long mReportedAdmitted;
-        private long mReportedOffered;
-        private long mAcknowledged;
-        private long mSentNanos;
-        private long mGrantedNanos;
-        private boolean mAwaitsGrant;
-        private boolean mReported;
-        private boolean mFallingSilent;
-        private double mFraction = 1;
-        private double mCredit;
-        private double mShare;
-        private double mLevel = Double.POSITIVE_INFINITY;
-        private double mRate = Double.POSITIVE_INFINITY;
-        private final Tokens mGranted = new Tokens();
-        private final Tokens mOwn = new Tokens();
-
-        Account(String partner, QuotaLimit limit, long epoch) {
-            mEpoch = epoch;
-            mPartner = partner;
-            mLimit = limit;
-        }
-
-        /** Restarts the totals for a new owner, which has not counted what is unacknowledged. */
-        void changeOwner(String owner) {
-            mOwner = owner;
-            mEpoch++;
-            mAdmitted -= mAcknowledged;
-            mOffered = 0;
-            mAcknowledged = 0;
-            mReportedAdmitted = 0;
-            mReportedOffered = 0;
-            mReported = false;
-            mAwaitsGrant = false;
-        }
-
-        boolean admits(long nowNanos) {
-            boolean pressed = mRate != Double.POSITIVE_INFINITY;
-            if (pressed && !mGranted.take(mRate, nowNanos)) {
-                return false;
-            }
-            if (mAdmitted - mAcknowledged < mCredit) {
-                mOwn.reset(nowNanos);
-                return true;
-            }
-            return mOwn.take(mShare * OWN_RATE_PART * mLimit.ratePerSecond(), nowNanos);
-        }
-
-        QuotaStatus status(long nowNanos) {
-            Duration age =
-                    mGrantedNanos == 0
-                            ? Duration.ZERO
-                            : Duration.ofNanos(Math.max(0, nowNanos - mGrantedNanos));
-            return new QuotaStatus(mFraction, mLimit.ratePerSecond(), age);
-        }
-
-        boolean isUrgent() {
-            return mAdmitted - mReportedAdmitted >= mCredit * URGENT_PART;
-        }
-
-        boolean isDue(long nowNanos) {
-            long sinceNanos = nowNanos - mSentNanos;
-            if (mAwaitsGrant) {
-                return sinceNanos >= REPEAT_INTERVAL.toNanos();
-            }
-            boolean changed = mOffered != mReportedOffered || mAdmitted != mReportedAdmitted;
-            if (!changed && !mFallingSilent) {
-                return false;
-            }
-            Duration interval = mRate < Double.POSITIVE_INFINITY ? PRESSED_INTERVAL : CALM_INTERVAL;
-            return !mReported || isUrgent() || sinceNanos >= interval.toNanos();
-        }
-
-        QuotaReport report(long nowNanos) {
-            mFallingSilent = mOffered != mReportedOffered;
-            mReportedAdmitted = mAdmitted;
-            mReportedOffered = mOffered;
-            mSentNanos = nowNanos;
-            mAwaitsGrant = true;
-            mReported = true;
-            return new QuotaReport(
-                    mPartner, mEpoch, mAcknowledged, mAdmitted, mOffered, mRate, mShare, mLevel);
-        }
-    }
-
     private final TimeSource mTime;
     private final QuotaBounds mBounds;
-    private final long mFirstEpoch;
-    private final Map<String, Account> mAccounts = new HashMap<>();
+    private final Map<String, PartnerMeter> mPartners = new HashMap<>();
     private QuotaOwners mOwners = new QuotaOwners(List.of());
+    private long mEpoch;
 
     /**
      * Creates a meter without partners, which admits everything.
@@ -176,9 +37,9 @@
      *     time
      */
     public QuotaMeter(TimeSource time, QuotaBounds bounds, long firstEpoch) {
-        mFirstEpoch = firstEpoch;
         mTime = time;
         mBounds = bounds;
+        mEpoch = firstEpoch;
     }
 
     /**
@@ -187,20 +48,20 @@
      * @param partners all partners
      */
     public void configure(List<PartnerPolicy> partners) {
-        Map<String, Account> kept = new HashMap<>();
+        Map<String, PartnerMeter> kept = new HashMap<>();
         for (PartnerPolicy p : partners) {
             if (p.quota().isPresent()) {
-                Account a = mAccounts.get(p.name());
-                if (a == null) {
-                    a = new Account(p.name(), p.quota().get(), mFirstEpoch);
-                    assignOwner(a);
+                PartnerMeter meter = mPartners.get(p.name());
+                if (meter == null) {
+                    meter = new PartnerMeter(p.name(), p.quota().get());
+                    assignOwner(meter);
                 }
-                a.mLimit = p.quota().get();
-                kept.put(p.name(), a);
+                meter.setLimit(p.quota().get());
+                kept.put(p.name(), meter);
             }
         }
-        mAccounts.clear();
-        mAccounts.putAll(kept);
+        mPartners.clear();
+        mPartners.putAll(kept);
     }
 
     /**
@@ -210,19 +71,14 @@
      */
     public void setOwners(QuotaOwners owners) {
         mOwners = owners;
-        mAccounts.values().forEach(this::assignOwner);
+        mPartners.values().forEach(this::assignOwner);
     }
 
-    private void assignOwner(Account a) {
-        String owner = mOwners.ownerOf(a.mPartner).orElse("");
-        if (a.mGrantedNanos == 0) {
-            int nodes = Math.max(1, mOwners.nodes());
-            double tolerance = FIRST_CREDIT_PART * mBounds.tolerance(a.mLimit);
-            a.mCredit = Math.max(MIN_FIRST_CREDIT, tolerance / nodes);
-            a.mShare = 1.0 / nodes;
-        }
-        if (!owner.equals(a.mOwner)) {
-            a.changeOwner(owner);
+    private void assignOwner(PartnerMeter meter) {
+        meter.setFleet(Math.max(1, mOwners.nodes()), mBounds);
+        String owner = mOwners.ownerOf(meter.partner()).orElse("");
+        if (!owner.equals(meter.owner())) {
+            meter.changeOwner(owner, ++mEpoch);
         }
     }
 
@@ -233,16 +89,8 @@
      * @return whether it fits into the quota
      */
     public boolean admit(String partner) {
-        Account a = mAccounts.get(partner);
-        if (a == null) {
-            return true;
-        }
-        a.mOffered++;
-        if (!a.admits(mTime.nanos())) {
-            return false;
-        }
-        a.mAdmitted++;
-        return true;
+        PartnerMeter meter = mPartners.get(partner);
+        return meter == null || meter.admit(mTime.nanos());
     }
 
     /**
@@ -251,9 +99,9 @@
      * @param partner name of the request's partner
      */
     public void giveBack(String partner) {
-        Account a = mAccounts.get(partner);
-        if (a != null) {
-            a.mAdmitted--;
+        PartnerMeter meter = mPartners.get(partner);
+        if (meter != null) {
+            meter.giveBack();
         }
     }
 
@@ -264,8 +112,7 @@
      * @return the status, or empty if the partner has no limit
      */
     public Optional<QuotaStatus> status(String partner) {
-        Account a = mAccounts.get(partner);
-        return a == null ? Optional.empty() : Optional.of(a.status(mTime.nanos()));
+        return Optional.ofNullable(mPartners.get(partner)).map(m -> m.status(mTime.nanos()));
     }
 
     /**
@@ -275,8 +122,8 @@
      * @return whether a report is due
      */
     public boolean isReportDue(String partner) {
-        Account a = mAccounts.get(partner);
-        return a != null && !a.mOwner.isEmpty() && a.isDue(mTime.nanos());
+        PartnerMeter meter = mPartners.get(partner);
+        return meter != null && meter.isReportDue(mTime.nanos());
     }
 
     /**
@@ -288,41 +135,33 @@
     public Map<String, List<QuotaReport>> collectReports() {
         long now = mTime.nanos();
         Map<String, List<QuotaReport>> byOwner = new HashMap<>();
-        for (Account a : mAccounts.values()) {
-            if (!a.mOwner.isEmpty() && a.isDue(now)) {
-                byOwner.computeIfAbsent(a.mOwner, o -> new ArrayList<>());
+        for (PartnerMeter meter : mPartners.values()) {
+            if (meter.isReportDue(now)) {
+                byOwner.computeIfAbsent(meter.owner(), o -> new ArrayList<>());
             }
         }
         if (byOwner.isEmpty()) {
             return byOwner;
         }
-        for (Account a : mAccounts.values()) {
-            List<QuotaReport> reports = byOwner.get(a.mOwner);
-            boolean changed = a.mOffered != a.mReportedOffered && !a.mAwaitsGrant;
-            if (reports != null && (changed || a.isDue(now))) {
-                reports.add(a.report(now));
+        for (PartnerMeter meter : mPartners.values()) {
+            List<QuotaReport> reports = byOwner.get(meter.owner());
+            if (reports != null && (meter.hasNews() || meter.isReportDue(now))) {
+                reports.add(meter.report(now));
             }
         }
         return byOwner;
     }
 
     /**
-     * Applies a grant of a partner's owner. One of an earlier epoch is ignored.
+     * Applies a grant of a partner's owner. One that answers a report to an earlier owner is
+     * ignored.
      *
      * @param grant the grant
      */
     public void onGrant(QuotaGrant grant) {
-        Account a = mAccounts.get(grant.partner());
-        if (a == null || a.mEpoch != grant.epoch()) {
-            return;
+        PartnerMeter meter = mPartners.get(grant.partner());
+        if (meter != null) {
+            meter.onGrant(grant, mTime.nanos());
         }
-        a.mAwaitsGrant = a.mReportedAdmitted != grant.acknowledged() && a.mAwaitsGrant;
-        a.mAcknowledged = grant.acknowledged();
-        a.mFraction = grant.fraction();
-        a.mRate = grant.rate();
-        a.mGrantedNanos = mTime.nanos();
-        a.mCredit = grant.credit();
-        a.mShare = grant.share();
-        a.mLevel = grant.level();
     }
 }
--- a/core/src/test/java/io/azurestage/core/quota/QuotaTest.java
+++ b/core/src/test/java/io/azurestage/core/quota/QuotaTest.java
@@ -133,6 +133,39 @@
         }
     }
 
+    @Nested
+    class ReturningPartner {
+        /** An owner that missed the removal still has the totals of before. */
+        @Test
+        void totalsThatStartAgainGiveNothingBack() {
+            ManualTimeSource time = new ManualTimeSource();
+            QuotaMeter meter = new QuotaMeter(time, QuotaSimulation.BOUNDS, 1);
+            QuotaLedger owner = new QuotaLedger(time, QuotaSimulation.BOUNDS);
+            List<PartnerPolicy> partners =
+                    List.of(
+                            new PartnerPolicy(
+                                    "p",
+                                    Set.of(),
+                                    OptionalInt.empty(),
+                                    Optional.of(new QuotaLimit(35, 35))));
+            meter.setOwners(new QuotaOwners(List.of("owner")));
+            owner.configure(partners);
+            meter.configure(partners);
+            double before = levelAfterRequests(meter, owner);
+            meter.configure(List.of());
+            meter.configure(partners);
+            assertThat(levelAfterRequests(meter, owner)).isLessThanOrEqualTo(before);
+        }
+
+        private double levelAfterRequests(QuotaMeter meter, QuotaLedger owner) {
+            for (int i = 0; i < 4; i++) {
+                assertThat(meter.admit("p")).isTrue();
+            }
+            QuotaReport report = meter.collectReports().get("owner").get(0);
+            return owner.onReport("node", report).orElseThrow().level();
+        }
+    }
+
     @Nested
     class Faults {
         /** The smallest partner is in QuotaKnownRed. */
