Take ports for nodes under test below those of outgoing connections

Change: ports are counted up from 20,000, below the range that the system gives to outgoing connections (32,768 and up here), and checked by binding.

--- a/relay/src/test/java/io/azurestage/relay/RelayScenario.java
+++ b/relay/src/test/java/io/azurestage/relay/RelayScenario.java
@@ -11,6 +11,7 @@
 import io.azurestage.core.time.TimeSource;
 import io.azurestage.relay.fleet.ConfigFeed;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -22,6 +23,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 
 /** Starts nodes with a store, a backend server and raw requests, for the tests of a node. */
@@ -40,6 +42,10 @@
     static final QuotaBounds QUOTA_BOUNDS = new QuotaBounds(Duration.ofSeconds(5), 0.1, 20);
     static final Duration ROUTE_TIMEOUT = Duration.ofMillis(600);
 
+    private static final int LAST_PORT = 32_000;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(20_000 + (int) (ProcessHandle.current().pid() % 100) * 100);
+
     final Loop mLoop = new Loop();
     final MapStore mStore = new MapStore();
     final List<AutoCloseable> mCloseables = new ArrayList<>();
@@ -92,9 +98,20 @@
                 List.of());
     }
 
-    static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket s = new ServerSocket(0)) {
-            return new InetSocketAddress("127.0.0.1", s.getLocalPort());
+    /**
+     * Returns an address whose port is below those that the system gives to outgoing connections,
+     * so that no connection takes it before the node listens.
+     */
+    static InetSocketAddress freeAddress() {
+        while (true) {
+            int port = NEXT_PORT.getAndIncrement();
+            try (ServerSocket s = new ServerSocket(port)) {
+                return new InetSocketAddress("127.0.0.1", s.getLocalPort());
+            } catch (IOException e) {
+                if (port >= LAST_PORT) {
+                    throw new UncheckedIOException("no port below " + LAST_PORT + " is free", e);
+                }
+            }
         }
     }
 
