Build the partner directory once, and merge repeated steps of the entry

Cause: reading the change once more. Each configuration built the map of keys twice, once to check it in the decoder and once at the entry, and PartnerDirectory.EMPTY was unused.

--- a/core/src/main/java/io/azurestage/core/quota/PartnerAccount.java
+++ b/core/src/main/java/io/azurestage/core/quota/PartnerAccount.java
@@ -175,9 +175,8 @@
 
     /** The slack of a window is spread over it, so that it serves a lasting demand. */
     private double refillRate() {
-        double windowSeconds = mBounds.window().toNanos() / NANOS_PER_SECOND;
         return mLimit.ratePerSecond() * (1 + SPENT_TOLERANCE_PART * mBounds.overage())
-                + SPENT_TOLERANCE_PART * mBounds.slack() / windowSeconds;
+                + SPENT_TOLERANCE_PART * mBounds.slack() / mBounds.windowSeconds();
     }
 
     private double capacity() {
@@ -230,9 +229,8 @@
         if (pressed) {
             return LENT_PART * reserve;
         }
-        double windowSeconds = mBounds.window().toNanos() / NANOS_PER_SECOND;
         double unusedRate = (1 - QuotaMeter.OWN_RATE_PART) * mLimit.ratePerSecond();
-        return LENT_PART * (Math.max(0, mLevel) + reserve + unusedRate * windowSeconds);
+        return LENT_PART * (Math.max(0, mLevel) + reserve + unusedRate * mBounds.windowSeconds());
     }
 
     /** Half equal, because a node with little demand may get a clump of requests. */
--- a/core/src/main/java/io/azurestage/core/quota/QuotaBounds.java
+++ b/core/src/main/java/io/azurestage/core/quota/QuotaBounds.java
@@ -21,7 +21,10 @@
      * @return the number of requests
      */
     public double tolerance(QuotaLimit limit) {
-        double seconds = window.toNanos() / NANOS_PER_SECOND;
-        return overage * (limit.ratePerSecond() * seconds + limit.burst()) + slack;
+        return overage * (limit.ratePerSecond() * windowSeconds() + limit.burst()) + slack;
+    }
+
+    double windowSeconds() {
+        return window.toNanos() / NANOS_PER_SECOND;
     }
 }
--- a/core/src/main/java/io/azurestage/core/route/TrafficConfig.java
+++ b/core/src/main/java/io/azurestage/core/route/TrafficConfig.java
@@ -1,6 +1,6 @@
 package io.azurestage.core.route;
 
-import io.azurestage.core.partner.PartnerPolicy;
+import io.azurestage.core.partner.PartnerDirectory;
 import java.util.List;
 
 /**
@@ -12,11 +12,10 @@
  * @param partners all partners; if there are none, requests need no access key
  */
 public record TrafficConfig(
-        long version, List<Route> routes, RequestLimits limits, List<PartnerPolicy> partners) {
+        long version, List<Route> routes, RequestLimits limits, PartnerDirectory partners) {
 
-    /** Copies the lists. */
+    /** Copies the routes. */
     public TrafficConfig {
         routes = List.copyOf(routes);
-        partners = List.copyOf(partners);
     }
 }
--- a/core/src/test/java/io/azurestage/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/io/azurestage/core/quota/QuotaSimulation.java
@@ -249,8 +249,8 @@
         }
     }
 
-    /** Nodes report to the owner of the partner, which returns the fraction to admit. */
-    static final class ReportAndFraction implements Policy {
+    /** Nodes report to the owner of the partner, which grants them credit and a rate. */
+    static final class ReportsAndGrants implements Policy {
         private record Message(double atSeconds, Runnable delivery) {}
 
         private final QuotaSimulation mSimulation;
@@ -263,7 +263,7 @@
         private long mEpochs = 1;
         private long mSent;
 
-        ReportAndFraction(QuotaSimulation s) {
+        ReportsAndGrants(QuotaSimulation s) {
             mSimulation = s;
             mMeters = new QuotaMeter[s.mNodes];
             mLedgers = new QuotaLedger[s.mNodes];
--- a/core/src/test/java/io/azurestage/core/quota/QuotaTest.java
+++ b/core/src/test/java/io/azurestage/core/quota/QuotaTest.java
@@ -5,7 +5,7 @@
 import io.azurestage.core.partner.PartnerPolicy;
 import io.azurestage.core.partner.QuotaLimit;
 import io.azurestage.core.quota.QuotaSimulation.FixedPart;
-import io.azurestage.core.quota.QuotaSimulation.ReportAndFraction;
+import io.azurestage.core.quota.QuotaSimulation.ReportsAndGrants;
 import io.azurestage.core.quota.QuotaSimulation.Result;
 import io.azurestage.core.time.ManualTimeSource;
 import java.util.List;
@@ -62,7 +62,7 @@
         void fewRequestsWithinTheLimitAreRefused() {
             for (Size size : Size.values()) {
                 QuotaSimulation s = size.simulation(1);
-                ReportAndFraction policy = new ReportAndFraction(s);
+                ReportsAndGrants policy = new ReportsAndGrants(s);
                 s.run(policy, 3, t -> size.usual());
                 s.resetCounts();
                 Result r = s.run(policy, 60, t -> size.usual());
@@ -86,7 +86,7 @@
         void limitHoldsAndIsUsed() {
             for (Size size : Size.values()) {
                 QuotaSimulation s = size.simulation(2);
-                ReportAndFraction policy = new ReportAndFraction(s);
+                ReportsAndGrants policy = new ReportsAndGrants(s);
                 s.run(policy, 5, t -> size.usual());
                 s.resetCounts();
                 Result r = s.run(policy, 30, t -> size.usual() * SURGE);
@@ -101,7 +101,7 @@
         void lowerLimitHolds() {
             for (Size size : Size.values()) {
                 QuotaSimulation s = size.simulation(3);
-                ReportAndFraction policy = new ReportAndFraction(s);
+                ReportsAndGrants policy = new ReportsAndGrants(s);
                 s.run(policy, 5, t -> size.usual() * SURGE);
                 double lower = size.mLimit / 5;
                 s.setLimit(new QuotaLimit(lower, lower));
@@ -182,7 +182,7 @@
         void ownerIsKilledInSurge() {
             for (Size size : Size.values()) {
                 QuotaSimulation s = size.simulation(5);
-                ReportAndFraction policy = new ReportAndFraction(s);
+                ReportsAndGrants policy = new ReportsAndGrants(s);
                 s.run(policy, 5, t -> size.usual() * SURGE);
                 policy.stop(policy.owner());
                 s.run(policy, 1, t -> size.usual() * SURGE);
@@ -199,7 +199,7 @@
                 long admitted = 0;
                 for (int seed = 1; seed <= 20; seed++) {
                     QuotaSimulation s = size.simulation(seed);
-                    ReportAndFraction policy = new ReportAndFraction(s);
+                    ReportsAndGrants policy = new ReportsAndGrants(s);
                     s.run(policy, 10, t -> size.usual() * SURGE);
                     policy.start(policy.owner());
                     s.resetCounts();
@@ -217,7 +217,7 @@
         void allNodesAreKilledInSurge() {
             for (Size size : Size.values()) {
                 QuotaSimulation s = size.simulation(7);
-                ReportAndFraction policy = new ReportAndFraction(s);
+                ReportsAndGrants policy = new ReportsAndGrants(s);
                 s.run(policy, 10, t -> size.usual() * SURGE);
                 for (int i = 0; i < NODES; i++) {
                     policy.start(i);
@@ -231,7 +231,7 @@
         void ownerIsCutOffInSurge() {
             for (Size size : Size.values()) {
                 QuotaSimulation s = size.simulation(8);
-                ReportAndFraction policy = new ReportAndFraction(s);
+                ReportsAndGrants policy = new ReportsAndGrants(s);
                 s.run(policy, 5, t -> size.usual());
                 policy.cut(policy.owner(), true);
                 s.run(policy, 6, t -> size.usual() * SURGE);
@@ -262,7 +262,7 @@
         long admitted = 0;
         for (int seed = 1; seed <= 20; seed++) {
             QuotaSimulation s = size.simulation(seed);
-            ReportAndFraction policy = new ReportAndFraction(s);
+            ReportsAndGrants policy = new ReportsAndGrants(s);
             s.run(policy, 5, t -> size.usual());
             s.resetCounts();
             policy.stop(policy.owner());
@@ -280,7 +280,7 @@
     /** Kills, restarts or cuts off random nodes while the demand changes at random. */
     static double worstExcess(Size size, long seed, int faults) {
         QuotaSimulation s = size.simulation(seed);
-        ReportAndFraction policy = new ReportAndFraction(s);
+        ReportsAndGrants policy = new ReportsAndGrants(s);
         Result r = s.run(policy, 3, t -> size.usual());
         for (int i = 0; i < faults; i++) {
             int node = s.mRandom.nextBoolean() ? policy.owner() : s.mRandom.nextInt(NODES);
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -524,7 +524,7 @@
 
     private void applyConfig(TrafficConfig config) {
         mLimits = config.limits();
-        mQuotas.configure(config.partners());
+        mQuotas.configure(config.partners().all());
         mEntryHandler.configure(config);
     }
 
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryHandler.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryHandler.java
@@ -7,7 +7,6 @@
 import io.azurestage.core.calls.ParentRequest;
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
-import io.azurestage.core.partner.PartnerDirectory;
 import io.azurestage.core.partner.PartnerPolicy;
 import io.azurestage.core.partner.RankTable;
 import io.azurestage.core.quota.QuotaStatus;
@@ -131,8 +130,8 @@
      */
     public void configure(TrafficConfig config) {
         mRoutes = new RouteTable(config.routes());
-        mCallers = new CallerIdentifier(mSettings.names(), new PartnerDirectory(config.partners()));
-        mRanks = new RankTable(config.partners(), config.routes());
+        mCallers = new CallerIdentifier(mSettings.names(), config.partners());
+        mRanks = new RankTable(config.partners().all(), config.routes());
         mConfigVersion = config.version();
         mSplit.retain(config.routes());
         Set<String> names = new HashSet<>();
@@ -186,7 +185,7 @@
         mMetrics.refused(rejected.reason());
         mEvents.record(
                 EventType.KEY_REFUSED,
-                Fields.first(request.fields(), mSettings.names().requestId()).orElse(""),
+                requestId(request),
                 "",
                 Map.of(
                         "reason", rejected.reason(),
@@ -207,7 +206,7 @@
         }
         long nowNanos = mTime.nanos();
         String service = mSplit.next(route);
-        String id = Fields.first(request.fields(), mSettings.names().requestId()).orElse("");
+        String id = requestId(request);
         boolean calledByServers = mCalledByServers.contains(route.name());
         OptionalLong remaining = remainingNanos(request);
         Optional<ParentRequest> parent =
@@ -259,7 +258,7 @@
      */
     private void refuseOverQuota(
             InboundRequest request, Exchange exchange, Route route, String partner) {
-        String id = Fields.first(request.fields(), mSettings.names().requestId()).orElse("");
+        String id = requestId(request);
         QuotaStatus status = mQuotas.status(partner).orElseThrow();
         Duration retryAfter = Replies.retryAfter(status.fraction(), order(id));
         mMetrics.refused(OVER_QUOTA);
@@ -305,6 +304,10 @@
                 : Math.max(0, Math.min(routeNanos, remaining.getAsLong() - TRANSIT_NANOS));
     }
 
+    private String requestId(InboundRequest request) {
+        return Fields.first(request.fields(), mSettings.names().requestId()).orElse("");
+    }
+
     private OptionalLong remainingNanos(InboundRequest request) {
         Optional<String> field =
                 Fields.first(request.fields(), mSettings.names().remainingMillis());
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryRequest.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryRequest.java
@@ -175,16 +175,17 @@
         } else if (mMayHaveRun) {
             answer(Reply.text(502, "the answer was lost\n"), describe(result));
         } else if (result instanceof CallResult.NotRun n) {
-            mPartner.ifPresent(mHandler::giveBack);
-            answer(Replies.retryLater("not run: " + n.reason(), n.retryAfter()), describe(result));
+            refuse(n.reason(), n.retryAfter(), describe(result));
         } else {
-            mPartner.ifPresent(mHandler::giveBack);
-            answer(
-                    Replies.retryLater("not run: refused by the server", RETRY_AFTER),
-                    describe(result));
+            refuse("refused by the server", RETRY_AFTER, describe(result));
         }
     }
 
+    private void refuse(String reason, Duration retryAfter, String cause) {
+        mPartner.ifPresent(mHandler::giveBack);
+        answer(Replies.retryLater("not run: " + reason, retryAfter), cause);
+    }
+
     /** Handles the timeout of the request. */
     @Override
     public void run() {
--- a/relay/src/test/java/io/azurestage/relay/AccessKeyTest.java
+++ b/relay/src/test/java/io/azurestage/relay/AccessKeyTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.azurestage.core.partner.PartnerDirectory;
 import io.azurestage.core.partner.PartnerPolicy;
 import io.azurestage.core.partner.QuotaLimit;
 import io.azurestage.core.route.Route;
@@ -49,7 +50,7 @@
                 plain.version(),
                 List.of(plain.routes().get(0), write, open),
                 plain.limits(),
-                List.of(partner));
+                new PartnerDirectory(List.of(partner)));
     }
 
     @BeforeEach
--- a/relay/src/test/java/io/azurestage/relay/RelayScenario.java
+++ b/relay/src/test/java/io/azurestage/relay/RelayScenario.java
@@ -2,6 +2,7 @@
 
 import io.azurestage.core.backend.Heartbeat;
 import io.azurestage.core.event.EventLog;
+import io.azurestage.core.partner.PartnerDirectory;
 import io.azurestage.core.quota.QuotaBounds;
 import io.azurestage.core.route.RequestLimits;
 import io.azurestage.core.route.Route;
@@ -95,7 +96,7 @@
                                 false,
                                 books)),
                 RequestLimits.defaults(),
-                List.of());
+                PartnerDirectory.EMPTY);
     }
 
     /**
