--- a/review/harness/review/Backend.java
+++ b/review/harness/review/Backend.java
@@ -78,7 +78,7 @@
             BufferedInputStream in = new BufferedInputStream(s.getInputStream(), 64 << 10);
             OutputStream out = s.getOutputStream();
             while (!ended) {
-                Http.Message m = Http.read(in, false);
+                Http.Message m = takesBody() ? Http.read(in, false) : Http.readHead(in);
                 String attempt = m.fields.getOrDefault("Azurestage-Attempt-Id", "");
                 String target = m.fields.getOrDefault("Azurestage-Target-Instance", id);
                 if (!target.equals(id)) {
@@ -88,7 +88,7 @@
                     continue;
                 }
                 record.add("server %s: runs %s %s", id, attempt, m.startLine);
-                handle(m, attempt, out);
+                handle(m, attempt, s, in, out);
             }
         } catch (IOException e) {
             // The connection has ended.
@@ -98,9 +98,14 @@
         }
     }
 
+    /** Returns whether the body of a request is read before the request is handled. */
+    boolean takesBody() {
+        return true;
+    }
+
     /** Runs a request and answers it. */
-    void handle(Http.Message m, String attempt, OutputStream out)
-            throws IOException, InterruptedException {
+    void handle(Http.Message m, String attempt, Socket s, BufferedInputStream in,
+            OutputStream out) throws IOException, InterruptedException {
         handler.run(m, attempt, out);
     }
 
@@ -145,7 +150,7 @@
     boolean heartbeat(String stated, long seq) {
         String body = """
                 {"service":"%s","address":"127.0.0.1:%d","zone":"zone-a","version":"v1",\
-                "slots":40,"state":"%s","coldRemaining":"0ms","sequence":%d,"born":%d}"""
+                "slots":157,"state":"%s","coldRemaining":"0ms","sequence":%d,"born":%d}"""
                 .formatted(service, advertisedPort, stated, seq, born);
         return call("/-/Instances.Heartbeat/" + id, body);
     }
--- a/review/harness/review/ForgottenLeave.java
+++ b/review/harness/review/ForgottenLeave.java
@@ -1,6 +1,7 @@
 package review;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -10,17 +11,22 @@
     private static final double DRAIN_SECONDS = 2;
     private static final double TOUCH_SECONDS = 3;
 
+    /** The leaving server exits during this run after its drain. */
+    private static final int LAST_RUN = 4;
+
     private final AtomicInteger runsOfLeaver = new AtomicInteger();
-    private int lateRuns;
-    private volatile double acknowledged = Double.MAX_VALUE;
+    private volatile Backend leaving;
 
     private Backend server(String id, int controlPort, boolean leaver) throws IOException {
         return new Backend(record, id, "ledger", 0, 0, controlPort, (m, attempt, out) -> {
-            if (leaver) {
-                runsOfLeaver.incrementAndGet();
+            int runs = leaver ? runsOfLeaver.incrementAndGet() : 0;
+            Thread.sleep(40);
+            if (attempt.startsWith("after") && runs == LAST_RUN) {
+                record.add("server s-a: exits, as it has said long ago, while it runs %s", attempt);
+                leaving.end();
+            } else {
+                Backend.success(out, attempt, attempt.getBytes());
             }
-            Thread.sleep(20);
-            Backend.success(out, attempt, attempt.getBytes());
         });
     }
 
@@ -79,7 +85,8 @@
         if (!second.deregister()) {
             return CANNOT_RUN;
         }
-        acknowledged = record.seconds();
+        leaving = second;
+        double acknowledged = record.seconds();
         record.add("server s-a: has deregistered again, acknowledged by node-a; store: %s",
                 store.get("azurestage/left/s-a"));
         double inTouch = acknowledged;
@@ -100,10 +107,15 @@
         double start = Math.max(inTouch, acknowledged + DRAIN_SECONDS) + 0.3;
         sleep(Math.max(0, start - record.seconds()));
         runsOfLeaver.set(0);
+        List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
-            send(b, "after-" + i);
+            String id = "after-" + i;
+            clients.add(Backend.daemon(() -> send(b, id), id));
             sleep(0.05);
         }
+        for (Thread t : clients) {
+            t.join();
+        }
         record.add("requests that reached s-a later than drain after the acknowledgement: %d",
                 runsOfLeaver.get());
         second.end();
--- a/review/harness/review/SilentCrash.java
+++ b/review/harness/review/SilentCrash.java
@@ -1,7 +1,9 @@
 package review;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,8 +27,8 @@
         }
 
         @Override
-        void handle(Http.Message m, String attempt, OutputStream out)
-                throws IOException, InterruptedException {
+        void handle(Http.Message m, String attempt, Socket s, BufferedInputStream in,
+                OutputStream out) throws IOException, InterruptedException {
             if (!m.startLine.contains("/ledger/book")) {
                 success(out, attempt, FIRST.getBytes(StandardCharsets.UTF_8));
                 return;
