--- a/review/harness/review/Backend.java
+++ b/review/harness/review/Backend.java
@@ -31,7 +31,6 @@
     private volatile boolean ended;
     private volatile boolean dark;
     private volatile boolean beating = true;
-    private volatile String state = "ready";
     private long sequence;
 
     /** Creates a server; advertisedPort is the port that it states, 0 for its own. */
@@ -133,7 +132,7 @@
         try {
             while (!ended) {
                 if (beating) {
-                    heartbeat(state, ++sequence);
+                    heartbeat("ready", nextSequence());
                 }
                 Thread.sleep(500);
             }
@@ -169,10 +168,6 @@
         }
     }
 
-    void setState(String s) {
-        state = s;
-    }
-
     void stopHeartbeats() {
         beating = false;
     }
--- a/review/harness/review/Http.java
+++ b/review/harness/review/Http.java
@@ -5,7 +5,6 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
--- a/review/harness/review/Kv.java
+++ b/review/harness/review/Kv.java
@@ -67,10 +67,6 @@
         return server.getAddress().getPort();
     }
 
-    void stop() {
-        server.stop(0);
-    }
-
     synchronized long put(String key, String value) {
         write(key, value.getBytes(StandardCharsets.UTF_8), 0);
         notifyAll();
--- a/review/harness/review/NodeProcess.java
+++ b/review/harness/review/NodeProcess.java
@@ -6,7 +6,6 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
--- a/review/harness/review/PeerFreeze.java
+++ b/review/harness/review/PeerFreeze.java
@@ -1,7 +1,6 @@
 package review;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -12,8 +11,8 @@
     /** The frozen node is a tenth of the nodes. */
     private static final int NODES = 10;
 
-    private static final int DOWNLOADS = Integer.getInteger("downloads", 16);
-    private static final int BODY_BYTES = Integer.getInteger("bytes", 8 << 20);
+    private static final int DOWNLOADS = 16;
+    private static final int BODY_BYTES = 8 << 20;
     private static final double SPREAD_SECONDS = 2;
     private static final double FREEZE_SECONDS = 3;
     private static final int TIMEOUT_MILLIS = 6_000;
