Log which leaves of backend servers are recorded and read

The logs could not tell why a restarted node used a server that had left: whether the record was not written, not read, or read and not heeded. Event 515 has the incarnation whose leave the store holds, and event 516 has what a starting node has read.

--- a/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
@@ -10,8 +10,10 @@
 import io.netty.channel.EventLoop;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Stores which backend servers have reported that they are shutting down, so that a restarted node
@@ -31,6 +33,9 @@
 
     private static final long READ_RETRY_DELAY_MILLIS = 250;
 
+    /** Bounds the length of an event about records that were read. */
+    private static final int MAX_REPORTED_RECORDS = 16;
+
     /** Receives the records. */
     @FunctionalInterface
     public interface Reader {
@@ -84,6 +89,7 @@
                         r -> {
                             if (r instanceof ReadResult.Found f) {
                                 f.values().forEach(v -> loadRecord(v, reader));
+                                reportLoaded(f.values());
                                 once.run();
                             } else {
                                 mLoop.schedule(
@@ -106,6 +112,23 @@
         }
     }
 
+    private void reportLoaded(List<Versioned> records) {
+        String servers =
+                records.stream()
+                        .limit(MAX_REPORTED_RECORDS)
+                        .map(LeaveRecords::describe)
+                        .collect(Collectors.joining(" "));
+        mEvents.record(
+                EventType.LEAVES_LOADED,
+                Map.of("records", Integer.toString(records.size()), "servers", servers));
+    }
+
+    private static String describe(Versioned v) {
+        return v.key().substring(PREFIX.length())
+                + "="
+                + new String(v.value(), StandardCharsets.UTF_8);
+    }
+
     /**
      * Records that a server is leaving.
      *
@@ -137,6 +160,12 @@
                                     r instanceof WriteResult.Applied
                                             || r instanceof WriteResult.Conflict;
                             if (recorded) {
+                                mEvents.record(
+                                        EventType.LEAVE_RECORDED,
+                                        Map.of(
+                                                "server", serverId,
+                                                "startedAtMillis", Long.toString(startedAtMillis),
+                                                "outcome", r.getClass().getSimpleName()));
                                 once.run();
                             } else {
                                 reportFailure(serverId, r.toString(), once);
