--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -210,7 +210,7 @@
                         metrics,
                         mQuotas);
         mDirectory.onNodesChanged(mQuotas::setNodes);
-        mLeaveRecords = new LeaveRecords(loop, port.store(), events);
+        mLeaveRecords = new LeaveRecords(loop, time, port.store(), events);
         mLinkServer = new LinkServer(time, mPauses, self, mLocalBackend);
         mConfigKeyFeed =
                 new PrefixFeed(loop, port.store(), port.configPrefix(), mConfigFeed, events);
--- a/relay/src/test/java/io/azurestage/relay/MapStore.java
+++ b/relay/src/test/java/io/azurestage/relay/MapStore.java
@@ -6,6 +6,7 @@
 import io.azurestage.store.Versioned;
 import io.azurestage.store.WatchEvent;
 import io.azurestage.store.WriteResult;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -55,6 +56,17 @@
         return mValues.containsKey(key);
     }
 
+    /** Returns the value of a key as text, or null if there is none. */
+    public synchronized String text(String key) {
+        Versioned v = mValues.get(key);
+        return v == null ? null : new String(v.value(), StandardCharsets.UTF_8);
+    }
+
+    /** Returns the id of the lease that a key is bound to, 0 if there is none. */
+    public synchronized long lease(String key) {
+        return mLeaseByKey.getOrDefault(key, NO_LEASE);
+    }
+
     public synchronized List<String> keys(String prefix) {
         return mValues.keySet().stream().filter(k -> k.startsWith(prefix)).toList();
     }
