Move the reports of the server beside a node out of Relay

ServerReports holds what is done with heartbeats, deregistrations and answers that state a leave; Relay keeps its public methods.

--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -103,7 +103,7 @@
     /** Tasks run at each tick. A failure of one must not prevent the others from running. */
     private static final List<Consumer<Relay>> TICK_TASKS =
             List.of(
-                    Relay::trackServer,
+                    r -> r.mReports.tick(),
                     r -> r.mLocalBackend.tick(),
                     r -> r.mDirectory.tick(),
                     r -> r.mLinkServer.tick(),
@@ -128,19 +128,13 @@
     private final PrefixFeed mConfigKeyFeed;
     private final PrefixFeed mEntryKeyFeed;
     private final LinkServer mLinkServer;
-    private final LeaveRecords mLeaveRecords;
+    private final ServerReports mReports;
     private final CallRecords mCallRecords;
     private final RelayMetrics mMetrics;
     private final QuotaExchange mQuotas;
     private final PauseDetector mPauses;
     private RequestLimits mLimits = RequestLimits.defaults();
     private HttpListener mListener;
-    private Heartbeat mEarlyHeartbeat;
-
-    /** First heartbeat that reported the drain of the last server that drained. */
-    private Heartbeat mDrainReport;
-
-    private boolean mLeavesLoaded;
     private boolean mStopping;
     private boolean mListenerClosed;
     private Runnable mStoppedCallback;
@@ -160,6 +154,12 @@
         mEvents = events;
         mIdentity = new NodeIdentity(settings.nodeId(), time.now().toEpochMilli());
         mTracker = tracker(settings, time);
+        mReports =
+                new ServerReports(
+                        mTracker,
+                        new LeaveRecords(loop, time, port.store(), events),
+                        time,
+                        this::serverChanged);
         SplittableRandom random = new SplittableRandom(mIdentity.incarnation());
         CallAttribution calls = new CallAttribution(time, random.split());
         ChainLevels levels = new ChainLevels(time);
@@ -177,7 +177,7 @@
                         events,
                         this::nodesByService,
                         mCallRecords::write,
-                        this::onLeavingStated,
+                        mReports::onLeavingStated,
                         metrics,
                         budget(settings, time));
         mConfigFeed =
@@ -210,7 +210,6 @@
                         metrics,
                         mQuotas);
         mDirectory.onNodesChanged(mQuotas::setNodes);
-        mLeaveRecords = new LeaveRecords(loop, time, port.store(), events);
         mLinkServer = new LinkServer(time, mPauses, self, mLocalBackend);
         mConfigKeyFeed =
                 new PrefixFeed(loop, port.store(), port.configPrefix(), mConfigFeed, events);
@@ -322,7 +321,7 @@
                         "service", mSettings.service(),
                         "incarnation", Long.toString(mIdentity.incarnation()),
                         "link", hostPort(mSettings.linkAddress())));
-        mLeaveRecords.load(mTracker::onDeregistered, this::onLeavesLoaded);
+        mReports.start();
         mCallRecords.load(this::assumeCalledByServers);
         mConfigKeyFeed.start();
         mEntryKeyFeed.start();
@@ -356,12 +355,6 @@
         }
     }
 
-    private void trackServer() {
-        if (mTracker.checkHeartbeatTimeout()) {
-            serverChanged();
-        }
-    }
-
     /**
      * Handles a heartbeat of the local backend server. Call it on the event loop.
      *
@@ -371,44 +364,7 @@
      *     time
      */
     public void onHeartbeat(Heartbeat h, Runnable acknowledge) {
-        if (!mLeavesLoaded) {
-            // Heartbeats are processed only after the records of servers that have left are loaded.
-            mEarlyHeartbeat = h;
-            acknowledge.run();
-            return;
-        }
-        boolean firstOfDrain = h.draining() && !isDrainReported(h);
-        if (mTracker.onHeartbeat(h)) {
-            serverChanged();
-        }
-        if (firstOfDrain) {
-            mDrainReport = h;
-            mLeaveRecords.write(h.serverId(), h.startedAtMillis(), acknowledge);
-        } else {
-            acknowledge.run();
-        }
-    }
-
-    private boolean isDrainReported(Heartbeat h) {
-        return mDrainReport != null
-                && mDrainReport.serverId().equals(h.serverId())
-                && mDrainReport.startedAtMillis() == h.startedAtMillis();
-    }
-
-    /** Handles an answer in which the local backend server states that it leaves. */
-    private void onLeavingStated() {
-        if (mTracker.onLeavingStated()) {
-            serverChanged();
-            BackendServer s = mTracker.server().orElseThrow();
-            mLeaveRecords.write(s.serverId(), s.startedAtMillis(), () -> {});
-        }
-    }
-
-    private void onLeavesLoaded() {
-        mLeavesLoaded = true;
-        if (mEarlyHeartbeat != null) {
-            onHeartbeat(mEarlyHeartbeat, () -> {});
-        }
+        mReports.onHeartbeat(h, acknowledge);
     }
 
     /**
@@ -421,18 +377,7 @@
      *     the store has not answered in time
      */
     public void onDeregistered(String serverId, long startedAtMillis, Runnable acknowledge) {
-        if (mTracker.onDeregistered(serverId, startedAtMillis)) {
-            serverChanged();
-        }
-        long started =
-                mTracker.server()
-                        .filter(s -> s.serverId().equals(serverId))
-                        .map(BackendServer::startedAtMillis)
-                        .orElse(
-                                startedAtMillis == 0
-                                        ? mTime.now().toEpochMilli()
-                                        : startedAtMillis);
-        mLeaveRecords.write(serverId, started, acknowledge);
+        mReports.onDeregistered(serverId, startedAtMillis, acknowledge);
     }
 
     /**
