Record the incarnation that a deregistration names

Seen by callers (tests, not reported): after a restart of its node, a server that had deregistered before its first heartbeat was used again, and a server in use was refused for good because a late deregistration of the incarnation before it had been recorded as its own.

Cause: Relay recorded the incarnation that the tracker knew under the id, not the one that the report names.

The tracker now says which incarnation a report concerns, and both the tracker and the record take that one. Both new tests of LeaveAcrossRestartTest failed on the code before (recorded 2 for 3, 3 for 2).

--- a/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
@@ -110,6 +110,28 @@
         return true;
     }
 
+    /**
+     * Determines which incarnation a deregistration concerns.
+     *
+     * @param serverId id of the server
+     * @param startedAtMillis start time that the report states, epoch milliseconds, or 0 if it
+     *     states none
+     * @return start time of the incarnation that leaves. Without a statement, it is that of the
+     *     current server of this id, or else the present time: a server may deregister at a process
+     *     that has not received any heartbeat of it yet, and later incarnations start after this
+     *     report
+     */
+    public long leavingIncarnation(String serverId, long startedAtMillis) {
+        if (startedAtMillis != 0) {
+            return startedAtMillis;
+        }
+        return isCurrent(serverId) ? mServer.startedAtMillis() : mTime.now().toEpochMilli();
+    }
+
+    private boolean isCurrent(String serverId) {
+        return mServer != null && mServer.serverId().equals(serverId);
+    }
+
     /**
      * Processes the deregistration of a server.
      *
@@ -119,13 +141,8 @@
      * @return whether the state of the current server has changed
      */
     public boolean onDeregistered(String serverId, long startedAtMillis) {
-        boolean current = mServer != null && mServer.serverId().equals(serverId);
-        long incarnation = startedAtMillis;
-        if (incarnation == 0) {
-            // A server may deregister without a start time at a process that has not received any
-            // heartbeat of it yet. Later incarnations start after this report.
-            incarnation = current ? mServer.startedAtMillis() : mTime.now().toEpochMilli();
-        }
+        boolean current = isCurrent(serverId);
+        long incarnation = leavingIncarnation(serverId, startedAtMillis);
         mLeftIncarnations.merge(serverId, incarnation, Math::max);
         if (!current || incarnation < mServer.startedAtMillis()) {
             return false;
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -158,7 +158,6 @@
                 new ServerReports(
                         mTracker,
                         new LeaveRecords(loop, time, port.store(), events),
-                        time,
                         this::serverChanged);
         SplittableRandom random = new SplittableRandom(mIdentity.incarnation());
         CallAttribution calls = new CallAttribution(time, random.split());
--- a/relay/src/main/java/io/azurestage/relay/ServerReports.java
+++ b/relay/src/main/java/io/azurestage/relay/ServerReports.java
@@ -3,7 +3,6 @@
 import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.backend.BackendTracker;
 import io.azurestage.core.backend.Heartbeat;
-import io.azurestage.core.time.TimeSource;
 import io.azurestage.relay.fleet.LeaveRecords;
 
 /**
@@ -14,7 +13,6 @@
 final class ServerReports {
     private final BackendTracker mTracker;
     private final LeaveRecords mLeaveRecords;
-    private final TimeSource mTime;
     private final Runnable mOnServerChanged;
     private Heartbeat mEarlyHeartbeat;
 
@@ -28,17 +26,14 @@
      *
      * @param tracker tracks the state of the server
      * @param leaveRecords records of servers that leave
-     * @param time clock
      * @param onServerChanged called when the server or its state has changed
      */
     ServerReports(
             BackendTracker tracker,
             LeaveRecords leaveRecords,
-            TimeSource time,
             Runnable onServerChanged) {
         mTracker = tracker;
         mLeaveRecords = leaveRecords;
-        mTime = time;
         mOnServerChanged = onServerChanged;
     }
 
@@ -97,17 +92,10 @@
 
     /** See {@link Relay#onDeregistered}. */
     void onDeregistered(String serverId, long startedAtMillis, Runnable acknowledge) {
-        if (mTracker.onDeregistered(serverId, startedAtMillis)) {
+        long leaving = mTracker.leavingIncarnation(serverId, startedAtMillis);
+        if (mTracker.onDeregistered(serverId, leaving)) {
             mOnServerChanged.run();
         }
-        long started =
-                mTracker.server()
-                        .filter(s -> s.serverId().equals(serverId))
-                        .map(BackendServer::startedAtMillis)
-                        .orElse(
-                                startedAtMillis == 0
-                                        ? mTime.now().toEpochMilli()
-                                        : startedAtMillis);
-        mLeaveRecords.write(serverId, started, acknowledge);
+        mLeaveRecords.write(serverId, leaving, acknowledge);
     }
 }
--- a/relay/src/test/java/io/azurestage/relay/LeaveAcrossRestartTest.java
+++ b/relay/src/test/java/io/azurestage/relay/LeaveAcrossRestartTest.java
@@ -93,4 +93,29 @@
         assertThat(status(entry)).isEqualTo(503);
         assertThat(mServer.requests()).isEmpty();
     }
+
+    // Guards against a record of the incarnation that the node knows in place of the one that
+    // leaves: the heartbeats of the new incarnation were lost.
+    @Test
+    void serverThatLeavesBeforeItsFirstHeartbeatIsNotUsed() throws Exception {
+        startServing();
+        deregister(OWNER, SECOND);
+        assertThat(mStore.text(RECORD)).isEqualTo("3");
+        InetSocketAddress entry = restartOwner();
+        report(RESTARTED, SECOND, false, LATE_SEQUENCE);
+        assertThat(status(entry)).isEqualTo(503);
+    }
+
+    // Guards against a server in use whose node takes it for gone after a restart, since a late
+    // deregistration of the incarnation before was recorded as its own.
+    @Test
+    void lateDeregistrationOfTheIncarnationBeforeDoesNotConcernTheServer() throws Exception {
+        startServing();
+        report(OWNER, SECOND, false, 1);
+        deregister(OWNER, FIRST);
+        assertThat(mStore.text(RECORD)).isEqualTo("2");
+        InetSocketAddress entry = restartOwner();
+        report(RESTARTED, SECOND, false, 2);
+        Loop.await("the server is used", () -> status(entry) == 200);
+    }
 }
