Renew the record of a leaving server while it reports

Seen by callers (tests, not reported): a server that drains for over a minute, or that has stated its leave in an answer while its heartbeats say ready, was used again after a restart of its node.

Cause: the record was written at the first report only, and its lease of 60 s ran out while the server still reported.

--- a/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
@@ -53,8 +53,7 @@
      * @return whether the server or its state has changed
      */
     public boolean onHeartbeat(Heartbeat h) {
-        Long leftIncarnation = mLeftIncarnations.get(h.serverId());
-        if (leftIncarnation != null && h.startedAtMillis() <= leftIncarnation) {
+        if (hasLeft(h)) {
             return false;
         }
         if (mServer != null && mServer.isSameIncarnation(h.serverId(), h.startedAtMillis())) {
@@ -73,6 +72,23 @@
         return true;
     }
 
+    /**
+     * Reports whether the sender of a heartbeat is leaving or has left.
+     *
+     * @param h a heartbeat that has been processed
+     * @return whether it or an earlier report of its incarnation states that the server leaves
+     */
+    public boolean isLeaving(Heartbeat h) {
+        boolean current =
+                mServer != null && mServer.isSameIncarnation(h.serverId(), h.startedAtMillis());
+        return h.draining() || hasLeft(h) || current && mDrainAnnounced;
+    }
+
+    private boolean hasLeft(Heartbeat h) {
+        Long leftIncarnation = mLeftIncarnations.get(h.serverId());
+        return leftIncarnation != null && h.startedAtMillis() <= leftIncarnation;
+    }
+
     private boolean updateCurrent(Heartbeat h) {
         if (h.sequence() <= mSequence) {
             return false;
--- a/relay/src/main/java/io/azurestage/relay/ServerReports.java
+++ b/relay/src/main/java/io/azurestage/relay/ServerReports.java
@@ -15,10 +15,6 @@
     private final LeaveRecords mLeaveRecords;
     private final Runnable mOnServerChanged;
     private Heartbeat mEarlyHeartbeat;
-
-    /** First heartbeat that reported the drain of the last server that drained. */
-    private Heartbeat mDrainReport;
-
     private boolean mLeavesLoaded;
 
     /**
@@ -63,24 +59,16 @@
             acknowledge.run();
             return;
         }
-        boolean firstOfDrain = h.draining() && !isDrainReported(h);
         if (mTracker.onHeartbeat(h)) {
             mOnServerChanged.run();
         }
-        if (firstOfDrain) {
-            mDrainReport = h;
+        if (mTracker.isLeaving(h)) {
             mLeaveRecords.write(h.serverId(), h.startedAtMillis(), acknowledge);
         } else {
             acknowledge.run();
         }
     }
 
-    private boolean isDrainReported(Heartbeat h) {
-        return mDrainReport != null
-                && mDrainReport.serverId().equals(h.serverId())
-                && mDrainReport.startedAtMillis() == h.startedAtMillis();
-    }
-
     /** Handles an answer in which the server states that it leaves. */
     void onLeavingStated() {
         if (mTracker.onLeavingStated()) {
--- /dev/null
+++ b/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
@@ -0,0 +1,144 @@
+package io.azurestage.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.azurestage.core.backend.BackendState;
+import io.azurestage.core.backend.BackendTracker;
+import io.azurestage.core.backend.Heartbeat;
+import io.azurestage.core.event.EventLog;
+import io.azurestage.core.time.HybridClock;
+import io.azurestage.core.time.ManualTimeSource;
+import io.azurestage.relay.fleet.LeaveRecords;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ServerReportsTest {
+    private static final String RECORD = "azurestage/left/a";
+    private static final Duration DRAIN_TIME = Duration.ofMillis(1_200);
+
+    private final Loop mLoop = new Loop();
+    private final MapStore mStore = new MapStore();
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final BackendTracker mTracker =
+            new BackendTracker(mTime, DRAIN_TIME, Duration.ofMillis(7_500));
+    private final AtomicInteger mChanges = new AtomicInteger();
+    private final ServerReports mReports =
+            new ServerReports(
+                    mTracker,
+                    new LeaveRecords(
+                            mLoop.loop(),
+                            mTime,
+                            mStore,
+                            new EventLog("n", new HybridClock(mTime), 10, e -> {})),
+                    mChanges::incrementAndGet);
+
+    @AfterEach
+    void close() throws Exception {
+        mLoop.close();
+    }
+
+    private void start() throws Exception {
+        mLoop.run(mReports::start);
+        awaitTasks();
+    }
+
+    /** Waits for the tasks that the present task of the event loop and its successor add. */
+    private void awaitTasks() throws Exception {
+        mLoop.run(() -> {});
+        mLoop.run(() -> {});
+    }
+
+    /** Sends a heartbeat of a server that started at 5, and waits for the acknowledgement. */
+    private void heartbeat(long sequence, boolean draining) throws Exception {
+        Heartbeat h =
+                new Heartbeat(
+                        "a", 5, "books", "10.0.0.1:80", 15, draining, Duration.ZERO, sequence);
+        CompletableFuture<Void> acknowledged = new CompletableFuture<>();
+        mLoop.run(() -> mReports.onHeartbeat(h, () -> acknowledged.complete(null)));
+        Loop.get(acknowledged);
+    }
+
+    private void deregister() throws Exception {
+        CompletableFuture<Void> acknowledged = new CompletableFuture<>();
+        mLoop.run(() -> mReports.onDeregistered("a", 5, () -> acknowledged.complete(null)));
+        Loop.get(acknowledged);
+    }
+
+    private void advance(int seconds) {
+        mTime.advance(Duration.ofSeconds(seconds));
+    }
+
+    private boolean acceptsRequests() throws Exception {
+        return mLoop.call(mTracker::acceptsRequests);
+    }
+
+    /** Guards against records whose lease ends while their server still reports. */
+    @Nested
+    class Leases {
+        private long mLease;
+
+        private void assertRenewed() {
+            Loop.await("a new lease", () -> mStore.lease(RECORD) > mLease);
+        }
+
+        @Test
+        void heartbeatsOfADrainingServerRenewItsRecord() throws Exception {
+            start();
+            heartbeat(1, false);
+            heartbeat(2, true);
+            mLease = mStore.lease(RECORD);
+            advance(30);
+            heartbeat(3, true);
+            assertRenewed();
+        }
+
+        @Test
+        void deregistrationAfterALongDrainRenewsTheRecord() throws Exception {
+            start();
+            heartbeat(1, false);
+            heartbeat(2, true);
+            mLease = mStore.lease(RECORD);
+            advance(30);
+            deregister();
+            assertRenewed();
+        }
+
+        // The heartbeats of such a server may say that it is ready.
+        @Test
+        void heartbeatsOfAServerThatStatedItsLeaveInAnAnswerRenewItsRecord() throws Exception {
+            start();
+            heartbeat(1, false);
+            mLoop.run(mReports::onLeavingStated);
+            Loop.await("the record", () -> mStore.has(RECORD));
+            awaitTasks();
+            mLease = mStore.lease(RECORD);
+            advance(30);
+            heartbeat(2, false);
+            assertRenewed();
+        }
+
+        @Test
+        void lateHeartbeatsOfADeregisteredServerRenewItsRecord() throws Exception {
+            start();
+            heartbeat(1, false);
+            deregister();
+            mLease = mStore.lease(RECORD);
+            advance(30);
+            heartbeat(2, false);
+            assertRenewed();
+        }
+
+        @Test
+        void heartbeatsOfAServerInUseRecordNothing() throws Exception {
+            start();
+            heartbeat(1, false);
+            heartbeat(2, false);
+            assertThat(mStore.has(RECORD)).isFalse();
+        }
+    }
+}
