Keep a leave that a server states while its heartbeats are missing

Seen by callers (test, not reported): a server whose heartbeats had stopped stated in an answer that it leaves; with its next heartbeat it got requests again.

Cause: BackendTracker heeded the statement of a server in use only. A server that is considered gone may come back, and nothing remembered that it had stated its leave. The statement is now kept in every state, and recorded.

BackendTrackerTest.leaveStatedWhileHeartbeatsAreMissingIsKept failed on the code before. laterReportsDoNotExtendTheDrainTime is a guard.

--- a/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
@@ -114,18 +114,25 @@
     /**
      * Processes the statement of the current server, in an answer, that it leaves.
      *
-     * @return whether the state of the server has changed
+     * @return whether this is the first report of its incarnation that it leaves
      */
     public boolean onLeavingStated() {
-        if (mServer == null || mServer.state() != BackendState.READY) {
+        if (mServer == null || mDrainAnnounced) {
             return false;
         }
-        mServer = mServer.withState(BackendState.DRAINING);
-        mDrainStartNanos = mTime.nanos();
-        mDrainAnnounced = true;
+        startDrain();
         return true;
     }
 
+    /** A server that was considered gone stays so; its drain time is over. */
+    private void startDrain() {
+        mDrainAnnounced = true;
+        if (mServer.state() == BackendState.READY) {
+            mServer = mServer.withState(BackendState.DRAINING);
+            mDrainStartNanos = mTime.nanos();
+        }
+    }
+
     /**
      * Determines which incarnation a deregistration concerns.
      *
--- a/core/src/test/java/io/azurestage/core/backend/BackendTrackerTest.java
+++ b/core/src/test/java/io/azurestage/core/backend/BackendTrackerTest.java
@@ -70,6 +70,28 @@
             assertThat(mTracker.acceptsRequests()).isFalse();
         }
 
+        // Guards against a leave that is ignored because the server's heartbeats had stopped.
+        @Test
+        void leaveStatedWhileHeartbeatsAreMissingIsKept() {
+            mTracker.onHeartbeat(heartbeat("a", 1, 1, false));
+            mTime.advance(HEARTBEAT_TIMEOUT);
+            mTracker.checkHeartbeatTimeout();
+            assertThat(mTracker.onLeavingStated()).isTrue();
+            mTracker.onHeartbeat(heartbeat("a", 1, 2, false));
+            assertThat(mTracker.acceptsRequests()).isFalse();
+        }
+
+        // Guards against a late report that gives a drained server another drain time.
+        @Test
+        void laterReportsDoNotExtendTheDrainTime() {
+            mTracker.onHeartbeat(heartbeat("a", 1, 1, false));
+            mTracker.onHeartbeat(heartbeat("a", 1, 2, true));
+            mTime.advance(DRAIN_TIME);
+            mTracker.onHeartbeat(heartbeat("a", 1, 3, true));
+            mTracker.onLeavingStated();
+            assertThat(mTracker.acceptsRequests()).isFalse();
+        }
+
         @Test
         void newIncarnationUnderTheSameIdAcceptsRequests() {
             mTracker.onHeartbeat(heartbeat("a", 1, 5, false));
