Keep a drain whose report was overtaken by a later heartbeat

Seen by callers (test, not reported): a heartbeat that reports the drain and arrives after a later one was acknowledged, but the server was used on.

Cause: BackendTracker dropped a heartbeat with an old sequence number whole, while the node acknowledged and recorded it. A drain is never reverted, so its report now counts in any order; nothing else of such a heartbeat does. overtakenReportOfTheDrainIsKept failed on the code before.

--- a/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
@@ -90,25 +90,25 @@
     }
 
     private boolean updateCurrent(Heartbeat h) {
-        if (h.sequence() <= mSequence) {
-            return false;
+        BackendServer before = mServer;
+        if (h.sequence() > mSequence) {
+            mSequence = h.sequence();
+            mLastHeartbeatNanos = mTime.nanos();
+            mServer = server(h, stateAfterHeartbeat());
         }
-        mSequence = h.sequence();
-        mLastHeartbeatNanos = mTime.nanos();
-        BackendState state = mServer.state();
-        // A server that resumes sending heartbeats has not left, but a drain is never reverted.
-        if (state == BackendState.GONE) {
-            state = mDrainAnnounced ? BackendState.DRAINING : BackendState.READY;
+        // A drain is never reverted, so a report of it also counts if a later heartbeat came first.
+        if (h.draining() && !mDrainAnnounced) {
+            startDrain();
         }
-        if (state == BackendState.READY && h.draining()) {
-            state = BackendState.DRAINING;
-            mDrainStartNanos = mLastHeartbeatNanos;
-            mDrainAnnounced = true;
+        return !mServer.equals(before);
+    }
+
+    /** A server that resumes sending heartbeats has not left. */
+    private BackendState stateAfterHeartbeat() {
+        if (mServer.state() != BackendState.GONE) {
+            return mServer.state();
         }
-        BackendServer next = server(h, state);
-        boolean changed = !next.equals(mServer);
-        mServer = next;
-        return changed;
+        return mDrainAnnounced ? BackendState.DRAINING : BackendState.READY;
     }
 
     /**
--- a/core/src/test/java/io/azurestage/core/backend/BackendTrackerTest.java
+++ b/core/src/test/java/io/azurestage/core/backend/BackendTrackerTest.java
@@ -81,6 +81,15 @@
             assertThat(mTracker.acceptsRequests()).isFalse();
         }
 
+        // Guards against a leave that is acknowledged and ignored because its report was overtaken.
+        @Test
+        void overtakenReportOfTheDrainIsKept() {
+            mTracker.onHeartbeat(heartbeat("a", 1, 5, false));
+            mTracker.onHeartbeat(heartbeat("a", 1, 4, true));
+            mTime.advance(DRAIN_TIME);
+            assertThat(mTracker.acceptsRequests()).isFalse();
+        }
+
         // Guards against a late report that gives a drained server another drain time.
         @Test
         void laterReportsDoNotExtendTheDrainTime() {
