Keep and record a drain that is reported while a node starts

Seen by callers (tests, not reported): a server that reported its drain to a node that was still reading its records was used as ready, if an older heartbeat came behind the report. The report was acknowledged without a record, so that a further restart forgot it.

Cause: a starting node kept the last heartbeat only, whatever its order, and acknowledged at once. It now keeps them all, up to 32, hands them on in their order, and records a drain before it acknowledges it, as at any other time. Both tests of ServerReportsTest.RecordsNotRead failed on the code before.

--- a/relay/src/main/java/io/azurestage/relay/ServerReports.java
+++ b/relay/src/main/java/io/azurestage/relay/ServerReports.java
@@ -4,17 +4,23 @@
 import io.azurestage.core.backend.BackendTracker;
 import io.azurestage.core.backend.Heartbeat;
 import io.azurestage.relay.fleet.LeaveRecords;
+import java.util.ArrayDeque;
+import java.util.Deque;
 
 /**
  * Processes what the backend server beside a node reports of itself: heartbeats, deregistrations,
  * and answers in which it states that it leaves. A report that it leaves is acknowledged once it is
- * recorded, so that the node also heeds it after a restart. Confined to the event loop.
+ * recorded, so that the node also heeds it after a restart. Heartbeats are kept until the records
+ * of the process before are read. Confined to the event loop.
  */
 final class ServerReports {
+    /** A server sends about two in the time for which a starting node waits for the records. */
+    private static final int MAX_EARLY_HEARTBEATS = 32;
+
     private final BackendTracker mTracker;
     private final LeaveRecords mLeaveRecords;
     private final Runnable mOnServerChanged;
-    private Heartbeat mEarlyHeartbeat;
+    private final Deque<Heartbeat> mEarlyHeartbeats = new ArrayDeque<>();
     private boolean mLeavesLoaded;
 
     /**
@@ -33,16 +39,15 @@
         mOnServerChanged = onServerChanged;
     }
 
-    /** Reads the records; heartbeats are processed afterwards. */
+    /** Reads the records; the server is not used before they are read or 2.5 s have passed. */
     void start() {
         mLeaveRecords.load(mTracker::onDeregistered, this::onLeavesLoaded);
     }
 
     private void onLeavesLoaded() {
         mLeavesLoaded = true;
-        if (mEarlyHeartbeat != null) {
-            onHeartbeat(mEarlyHeartbeat, () -> {});
-        }
+        mEarlyHeartbeats.forEach(this::track);
+        mEarlyHeartbeats.clear();
     }
 
     /** Takes a server without heartbeats for gone. Call it every 100 ms. */
@@ -54,13 +59,10 @@
 
     /** See {@link Relay#onHeartbeat}. */
     void onHeartbeat(Heartbeat h, Runnable acknowledge) {
-        if (!mLeavesLoaded) {
-            mEarlyHeartbeat = h;
-            acknowledge.run();
-            return;
-        }
-        if (mTracker.onHeartbeat(h)) {
-            mOnServerChanged.run();
+        if (mLeavesLoaded) {
+            track(h);
+        } else {
+            keep(h);
         }
         if (mTracker.isLeaving(h)) {
             mLeaveRecords.write(h.serverId(), h.startedAtMillis(), acknowledge);
@@ -69,6 +71,19 @@
         }
     }
 
+    private void track(Heartbeat h) {
+        if (mTracker.onHeartbeat(h)) {
+            mOnServerChanged.run();
+        }
+    }
+
+    private void keep(Heartbeat h) {
+        if (mEarlyHeartbeats.size() == MAX_EARLY_HEARTBEATS) {
+            mEarlyHeartbeats.removeFirst();
+        }
+        mEarlyHeartbeats.addLast(h);
+    }
+
     /** Handles an answer in which the server states that it leaves. */
     void onLeavingStated() {
         if (mTracker.onLeavingStated()) {
--- a/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
@@ -141,4 +141,34 @@
             assertThat(mStore.has(RECORD)).isFalse();
         }
     }
+
+    /** The store does not answer a starting node at first. */
+    @Nested
+    class RecordsNotRead {
+        // Guards against a drain that a late heartbeat hides while the records are being read.
+        @Test
+        void drainReportedBeforeTheRecordsAreReadIsKept() throws Exception {
+            mStore.setDown(true);
+            start();
+            heartbeat(2, true);
+            heartbeat(1, false);
+            mStore.setDown(false);
+            Loop.await("the heartbeats are processed", () -> mChanges.get() > 0);
+            assertThat(acceptsRequests()).isFalse();
+        }
+
+        // Guards against an acknowledgement without a record, which another restart would forget.
+        @Test
+        void drainReportedBeforeTheRecordsAreReadIsRecordedFirst() throws Exception {
+            CompletableFuture<Boolean> recorded = new CompletableFuture<>();
+            Heartbeat h =
+                    new Heartbeat("a", 5, "books", "10.0.0.1:80", 15, true, Duration.ZERO, 1);
+            mLoop.run(
+                    () -> {
+                        mReports.start();
+                        mReports.onHeartbeat(h, () -> recorded.complete(mStore.has(RECORD)));
+                    });
+            assertThat(Loop.get(recorded)).isTrue();
+        }
+    }
 }
