Heed records of leaving servers that are read late

Seen by callers (test, not reported): a node that starts while the store does not answer waits 2.5 s for the records, then used a server that had left for as long as the process lived, although the store was back.

ServerReportsTest.recordsAreHeededWhenTheStoreAnswersLater failed before. Left as it is: in the time between, the server is used, as the alternative is to serve nothing for as long as the store is away.

--- a/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
@@ -178,6 +178,24 @@
         return changed;
     }
 
+    /**
+     * Processes a record that a server has left or is leaving, which another process of this node
+     * has written.
+     *
+     * @param serverId id of the server
+     * @param startedAtMillis start time of its incarnation, epoch milliseconds
+     * @return whether the state of the current server has changed
+     */
+    public boolean onLeaveRead(String serverId, long startedAtMillis) {
+        boolean ready = mServer != null && mServer.state() == BackendState.READY;
+        boolean changed = onDeregistered(serverId, startedAtMillis);
+        if (changed && ready) {
+            // The other process acknowledged the leave before it ended.
+            mDrainStartNanos = mTime.nanos() - mDrainTime.toNanos();
+        }
+        return changed;
+    }
+
     /**
      * Marks a server as gone if its heartbeats have stopped. Call this several times per second.
      *
--- a/relay/src/main/java/io/azurestage/relay/ServerReports.java
+++ b/relay/src/main/java/io/azurestage/relay/ServerReports.java
@@ -41,7 +41,13 @@
 
     /** Reads the records; the server is not used before they are read or 2.5 s have passed. */
     void start() {
-        mLeaveRecords.load(mTracker::onDeregistered, this::onLeavesLoaded);
+        mLeaveRecords.load(this::onLeaveRead, this::onLeavesLoaded);
+    }
+
+    private void onLeaveRead(String serverId, long startedAtMillis) {
+        if (mTracker.onLeaveRead(serverId, startedAtMillis)) {
+            mOnServerChanged.run();
+        }
     }
 
     private void onLeavesLoaded() {
--- a/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
@@ -145,6 +145,27 @@
     /** The store does not answer a starting node at first. */
     @Nested
     class RecordsNotRead {
+        private void restart() throws Exception {
+            mStore.put(RECORD, "5".getBytes(StandardCharsets.UTF_8));
+            mStore.setDown(true);
+            start();
+        }
+
+        private void awaitWaitOver() {
+            Loop.await(
+                    "the heartbeats are processed",
+                    () -> {
+                        try {
+                            heartbeat(mSequence++, false);
+                            return acceptsRequests();
+                        } catch (Exception e) {
+                            throw new AssertionError(e);
+                        }
+                    });
+        }
+
+        private long mSequence = 10;
+
         // Guards against a drain that a late heartbeat hides while the records are being read.
         @Test
         void drainReportedBeforeTheRecordsAreReadIsKept() throws Exception {
@@ -170,5 +191,19 @@
                     });
             assertThat(Loop.get(recorded)).isTrue();
         }
+
+        // Guards against a node that gives up reading: it used a server that had left until the
+        // server exited.
+        @Test
+        void recordsAreHeededWhenTheStoreAnswersLater() throws Exception {
+            restart();
+            awaitWaitOver();
+            mStore.setDown(false);
+            Loop.await(
+                    "the server gets no requests",
+                    () -> mTracker.server().orElseThrow().state() == BackendState.GONE);
+            assertThat(acceptsRequests()).isFalse();
+            assertThat(mChanges.get()).isEqualTo(2);
+        }
     }
 }
