Remember the leaving servers of a whole fleet

Seen by callers (test, not reported): while more than 64 servers are replaced within a minute, a restarted node used its server again that had left.

Cause: a starting node reads the records of all servers, since it does not know its own yet, and BackendTracker kept the last 64 of them. It now keeps 4,096, under 1 MB; the fleet is to have 1,400. ServerReportsTest.recordIsHeededAmongThoseOfAWholeFleet failed before.

--- a/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
@@ -13,8 +13,11 @@
  * announced that it leaves never becomes ready again. Not thread-safe.
  */
 public final class BackendTracker {
-    /** Number of deregistered servers to remember, so that late heartbeats do not revive them. */
-    private static final int MAX_LEFT_SERVERS = 64;
+    /**
+     * Number of servers that have left to remember, so that late heartbeats do not revive them. A
+     * starting node reads the records of its whole fleet, as it does not know its server yet.
+     */
+    private static final int MAX_LEFT_SERVERS = 4_096;
 
     private final TimeSource mTime;
     private final Duration mDrainTime;
--- a/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
@@ -19,6 +19,7 @@
 
 class ServerReportsTest {
     private static final String RECORD = "azurestage/left/a";
+    private static final int FLEET = 1_400;
     private static final Duration DRAIN_TIME = Duration.ofMillis(1_200);
 
     private final Loop mLoop = new Loop();
@@ -206,4 +207,16 @@
             assertThat(mChanges.get()).isEqualTo(2);
         }
     }
+
+    // Guards against a fleet whose records push that of the node's own server out of memory.
+    @Test
+    void recordIsHeededAmongThoseOfAWholeFleet() throws Exception {
+        mStore.put(RECORD, "5".getBytes(StandardCharsets.UTF_8));
+        for (int i = 0; i < FLEET; i++) {
+            mStore.put("azurestage/left/b" + i, "5".getBytes(StandardCharsets.UTF_8));
+        }
+        start();
+        heartbeat(9, false);
+        assertThat(acceptsRequests()).isFalse();
+    }
 }
