--- a/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
@@ -54,11 +54,15 @@
         mLoop.run(() -> {});
     }
 
-    /** Sends a heartbeat of a server that started at 5, and waits for the acknowledgement. */
+    /** Returns a heartbeat of a server that started at 5. */
+    private static Heartbeat report(long sequence, boolean draining) {
+        return new Heartbeat(
+                "a", 5, "books", "10.0.0.1:80", 15, draining, Duration.ZERO, sequence);
+    }
+
+    /** Sends a heartbeat, and waits for the acknowledgement. */
     private void heartbeat(long sequence, boolean draining) throws Exception {
-        Heartbeat h =
-                new Heartbeat(
-                        "a", 5, "books", "10.0.0.1:80", 15, draining, Duration.ZERO, sequence);
+        Heartbeat h = report(sequence, draining);
         CompletableFuture<Void> acknowledged = new CompletableFuture<>();
         mLoop.run(() -> mReports.onHeartbeat(h, () -> acknowledged.complete(null)));
         Loop.get(acknowledged);
@@ -170,12 +174,13 @@
         // Guards against a drain that a late heartbeat hides while the records are being read.
         @Test
         void drainReportedBeforeTheRecordsAreReadIsKept() throws Exception {
-            mStore.setDown(true);
-            start();
-            heartbeat(2, true);
-            heartbeat(1, false);
-            mStore.setDown(false);
-            Loop.await("the heartbeats are processed", () -> mChanges.get() > 0);
+            mLoop.run(
+                    () -> {
+                        mReports.start();
+                        mReports.onHeartbeat(report(2, true), () -> {});
+                        mReports.onHeartbeat(report(1, false), () -> {});
+                    });
+            awaitTasks();
             assertThat(acceptsRequests()).isFalse();
         }
 
@@ -183,12 +188,11 @@
         @Test
         void drainReportedBeforeTheRecordsAreReadIsRecordedFirst() throws Exception {
             CompletableFuture<Boolean> recorded = new CompletableFuture<>();
-            Heartbeat h =
-                    new Heartbeat("a", 5, "books", "10.0.0.1:80", 15, true, Duration.ZERO, 1);
             mLoop.run(
                     () -> {
                         mReports.start();
-                        mReports.onHeartbeat(h, () -> recorded.complete(mStore.has(RECORD)));
+                        mReports.onHeartbeat(
+                                report(1, true), () -> recorded.complete(mStore.has(RECORD)));
                     });
             assertThat(Loop.get(recorded)).isTrue();
         }
