Reject entries whose numbers or addresses are out of range

Requests went to servers that were gone, and new ones got none.

Cause: EntryCodec converted numbers leniently. Slots of 1e300 were taken for 2,147,483,647, which draws all requests.

Evidence: FleetDirectoryTest.OddEntries failed on the code before with 'long overflow' in Server, called from FleetDirectory.rebuild. Ruled out as a cause, and kept as a guard on a stack of 256 KiB: deep nesting, which the parser's limit and its loop without recursion bear. Heartbeats have the same bounds.

--- a/core/src/main/java/io/azurestage/core/backend/BackendServer.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendServer.java
@@ -18,6 +18,39 @@
         int slots,
         BackendState state) {
 
+    /** Latest start time that is taken for one: the end of the year 9999, in epoch milliseconds. */
+    private static final long MAX_STARTED_AT_MILLIS = 253_402_300_799_999L;
+
+    /** No backend server runs more requests at once; a higher number would attract all of them. */
+    private static final int MAX_SLOTS = 1_000_000;
+
+    /**
+     * Validates the numbers, which come from other processes.
+     *
+     * @throws IllegalArgumentException if the start time or the number of slots is out of range
+     */
+    public BackendServer {
+        checkStart(startedAtMillis);
+        checkSlots(slots);
+    }
+
+    static void checkStart(long startedAtMillis) {
+        if (startedAtMillis < 0 || startedAtMillis > MAX_STARTED_AT_MILLIS) {
+            throw new IllegalArgumentException(
+                    "invalid start time: "
+                            + startedAtMillis
+                            + "; must be epoch milliseconds, 0 to "
+                            + MAX_STARTED_AT_MILLIS);
+        }
+    }
+
+    static void checkSlots(int slots) {
+        if (slots < 1 || slots > MAX_SLOTS) {
+            throw new IllegalArgumentException(
+                    "invalid number of slots: " + slots + "; must be 1 to " + MAX_SLOTS);
+        }
+    }
+
     BackendServer withState(BackendState newState) {
         return new BackendServer(serverId, startedAtMillis, service, address, slots, newState);
     }
--- a/core/src/main/java/io/azurestage/core/backend/Heartbeat.java
+++ b/core/src/main/java/io/azurestage/core/backend/Heartbeat.java
@@ -28,16 +28,14 @@
      * Validates the fields.
      *
      * @throws IllegalArgumentException if the server id, the service or the address is empty, or if
-     *     there are no slots
+     *     the start time or the number of slots is out of range
      */
     public Heartbeat {
         if (serverId.isEmpty() || service.isEmpty() || address.isEmpty()) {
             throw new IllegalArgumentException(
                     "invalid heartbeat: server id, service and address must not be empty");
         }
-        if (slots < 1) {
-            throw new IllegalArgumentException(
-                    "invalid number of slots: " + slots + "; must be at least 1");
-        }
+        BackendServer.checkStart(startedAtMillis);
+        BackendServer.checkSlots(slots);
     }
 }
--- a/mesh/src/main/java/io/azurestage/mesh/Address.java
+++ b/mesh/src/main/java/io/azurestage/mesh/Address.java
@@ -24,9 +24,23 @@
         }
         InetAddress ip = NetUtil.createInetAddressFromIpAddressString(address.substring(0, colon));
         String digits = address.substring(colon + 1);
-        if (ip == null || !digits.matches("[0-9]{1,5}") || Integer.parseInt(digits) > MAX_PORT) {
+        if (ip == null || !digits.matches("[0-9]{1,5}")) {
             return Optional.empty();
         }
-        return Optional.of(new InetSocketAddress(ip, Integer.parseInt(digits)));
+        int port = Integer.parseInt(digits);
+        return port > MAX_PORT
+                ? Optional.empty()
+                : Optional.of(new InetSocketAddress(ip, port));
+    }
+
+    /**
+     * Parses an address to connect to. Port 0, which stands for any port in an address to listen
+     * on, is rejected.
+     *
+     * @param address text of the form {@code IP:PORT}
+     * @return the address, or empty if the text is not a valid address of a peer
+     */
+    public static Optional<InetSocketAddress> parseRemote(String address) {
+        return parse(address).filter(a -> a.getPort() != 0);
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/fleet/EntryCodec.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/EntryCodec.java
@@ -50,28 +50,38 @@
             BackendServer server =
                     new BackendServer(
                             text(serverNode, "id"),
-                            serverNode.path("startedAtMillis").asLong(),
+                            integer(serverNode, "startedAtMillis"),
                             text(serverNode, "service"),
-                            text(serverNode, "address"),
-                            serverNode.path("slots").asInt(),
+                            address(serverNode, "address"),
+                            Math.toIntExact(integer(serverNode, "slots")),
                             BackendState.valueOf(text(serverNode, "state")));
-            if (server.slots() < 1) {
-                throw new IOException("slots is missing or not positive");
-            }
-            if (Address.parse(root.path("link").asText()).isEmpty()) {
-                throw new IOException("link is not of the form IP:PORT");
-            }
             return new ServerEntry(
-                    new NodeIdentity(text(root, "nodeId"), root.path("incarnation").asLong()),
-                    text(root, "link"),
+                    new NodeIdentity(text(root, "nodeId"), integer(root, "incarnation")),
+                    address(root, "link"),
                     text(root, "dataCentre"),
                     text(root, "region"),
                     server);
-        } catch (IllegalArgumentException e) {
-            throw new IOException("unknown state", e);
+        } catch (IllegalArgumentException | ArithmeticException e) {
+            throw new IOException(e.getMessage(), e);
         }
     }
 
+    private static long integer(JsonNode node, String field) throws IOException {
+        JsonNode value = node.path(field);
+        if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+            throw new IOException(field + " is missing or not a whole number in range");
+        }
+        return value.asLong();
+    }
+
+    private static String address(JsonNode node, String field) throws IOException {
+        String value = text(node, field);
+        if (Address.parseRemote(value).isEmpty()) {
+            throw new IOException(field + " is not of the form IP:PORT");
+        }
+        return value;
+    }
+
     private static String text(JsonNode node, String field) throws IOException {
         JsonNode value = node.path(field);
         if (!value.isTextual() || value.asText().isEmpty()) {
--- a/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
@@ -21,11 +21,13 @@
 import io.azurestage.relay.link.QuotaPeer;
 import io.azurestage.store.Versioned;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -121,6 +123,84 @@
         }
     }
 
+    /** Entries of another writer beside those of the nodes. */
+    @Nested
+    class OddEntries {
+        private static final int PARSER_DEPTH = 900;
+        private static final int TOO_DEEP = 200_000;
+
+        /** Thread stacks of a deployed node have this size. */
+        private static final long STACK_BYTES = 256 << 10;
+
+        private static String nested(int depth) {
+            return "{\"later\":" + "[".repeat(depth) + "]".repeat(depth) + ",";
+        }
+
+        /** Returns a node's entry in which a text is replaced, under a key of its own. */
+        private Versioned odd(String text, String replacement) {
+            String entry =
+                    new String(entryOf("m", OWN_LINK, "books").value(), StandardCharsets.UTF_8);
+            assertThat(entry).contains(text);
+            String changed = entry.replace(text, replacement);
+            return new Versioned("nodes/odd", changed.getBytes(StandardCharsets.UTF_8), 1);
+        }
+
+        private List<Versioned> invalidEntries() {
+            return List.of(
+                    odd("\"startedAtMillis\":1", "\"startedAtMillis\":9223372036854775808"),
+                    odd("\"startedAtMillis\":1", "\"startedAtMillis\":-9223372036854775808"),
+                    odd("\"startedAtMillis\":1", "\"startedAtMillis\":9223372036854775807"),
+                    odd("\"startedAtMillis\":1", "\"startedAtMillis\":1e300"),
+                    odd("\"startedAtMillis\":1", "\"startedAtMillis\":\"1\""),
+                    odd("\"incarnation\":1", "\"incarnation\":99999999999999999999"),
+                    odd("\"slots\":15", "\"slots\":99999999999"),
+                    odd("\"slots\":15", "\"slots\":1e300"),
+                    odd("\"slots\":15", "\"slots\":2147483647"),
+                    odd("\"slots\":15", "\"slots\":" + "9".repeat(5_000)),
+                    odd(OWN_LINK, "10.0.0.9:70000"),
+                    odd(OWN_LINK, "10.0.0.9:99999999999"),
+                    odd(OWN_LINK, "10.0.0.9:0"),
+                    odd("10.0.0.1:80", "10.0.0.1:70000"),
+                    odd("{\"nodeId\"", nested(TOO_DEEP) + "\"nodeId\""));
+        }
+
+        private void runOnSmallStack(Runnable task) throws Exception {
+            FutureTask<Void> done = new FutureTask<>(task, null);
+            new Thread(null, done, "small-stack", STACK_BYTES).start();
+            done.get();
+        }
+
+        // Guards against one entry of another writer that ends a node or keeps it from following
+        // the list: each change of the list failed while the entry was there.
+        @Test
+        void invalidEntryNamesNoServerAndTheOthersAreFollowed() throws Exception {
+            for (Versioned odd : invalidEntries()) {
+                runOnSmallStack(() -> followBeside(odd));
+            }
+        }
+
+        private void followBeside(Versioned odd) {
+            String text = new String(odd.value(), StandardCharsets.UTF_8);
+            String shown = text.substring(0, Math.min(200, text.length()));
+            mDirectory.listed(List.of(odd, entryOf("a", OWN_LINK, "books")));
+            assertThat(isRoutable()).as(shown).isTrue();
+            mDirectory.put(odd);
+            mDirectory.removed("nodes/a");
+            mTime.advance(Duration.ofSeconds(3));
+            mDirectory.tick();
+            assertThat(isRoutable()).as(shown).isFalse();
+            mDirectory.put(entryOf("b", OWN_LINK, "books"));
+            assertThat(isRoutable()).as(shown).isTrue();
+        }
+
+        @Test
+        void deepValueOfAnUnknownFieldIsIgnored() throws Exception {
+            Versioned deep = odd("{\"nodeId\"", nested(PARSER_DEPTH) + "\"nodeId\"");
+            runOnSmallStack(() -> mDirectory.listed(List.of(deep)));
+            assertThat(isRoutable()).isTrue();
+        }
+    }
+
     @Nested
     class Links {
         /**
