--- a/core/src/main/java/io/azurestage/core/backend/BackendServer.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendServer.java
@@ -34,7 +34,13 @@
         checkSlots(slots);
     }
 
-    static void checkStart(long startedAtMillis) {
+    /**
+     * Checks a start time that another process has stated.
+     *
+     * @param startedAtMillis start time in epoch milliseconds, 0 if it is unknown
+     * @throws IllegalArgumentException if it is negative or after the year 9999
+     */
+    public static void checkStart(long startedAtMillis) {
         if (startedAtMillis < 0 || startedAtMillis > MAX_STARTED_AT_MILLIS) {
             throw new IllegalArgumentException(
                     "invalid start time: "
--- a/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecord.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecord.java
@@ -1,5 +1,6 @@
 package io.azurestage.relay.fleet;
 
+import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
 import io.azurestage.core.time.TimeSource;
@@ -68,10 +69,12 @@
     /**
      * Decodes the incarnation that a record names.
      *
-     * @throws NumberFormatException if the value is not a number
+     * @throws IllegalArgumentException if the value is not a number, or no start time
      */
     static long decode(byte[] value) {
-        return Long.parseLong(new String(value, StandardCharsets.UTF_8));
+        long startedAtMillis = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+        BackendServer.checkStart(startedAtMillis);
+        return startedAtMillis;
     }
 
     /** Writes the record unless the store holds it; {@code done} runs after the first attempt. */
@@ -148,7 +151,7 @@
         mRevision = present.get(0).revision();
         try {
             return decode(present.get(0).value());
-        } catch (NumberFormatException e) {
+        } catch (IllegalArgumentException e) {
             mEvents.record(
                     EventType.ENTRY_UNREADABLE,
                     Map.of("key", mKey, "reason", "replaced, not a time: " + e.getMessage()));
--- a/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
@@ -118,7 +118,7 @@
     private void loadRecord(Versioned v, Reader reader) {
         try {
             reader.left(v.key().substring(PREFIX.length()), LeaveRecord.decode(v.value()));
-        } catch (NumberFormatException e) {
+        } catch (IllegalArgumentException e) {
             mEvents.record(
                     EventType.ENTRY_UNREADABLE,
                     Map.of("key", v.key(), "reason", "not a time: " + e.getMessage()));
--- a/relay/src/test/java/io/azurestage/relay/fleet/LeaveRecordsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/LeaveRecordsTest.java
@@ -151,9 +151,19 @@
             assertThat(load()).containsEntry("a", 5L);
         }
 
+        // Guards against a record that stands for all incarnations to come.
+        @Test
+        void recordOutOfRangeIsReplaced() throws Exception {
+            String odd = Long.toString(Long.MAX_VALUE);
+            mStore.put(RECORD, odd.getBytes(StandardCharsets.UTF_8));
+            assertThat(load()).isEmpty();
+            write(mRecords, 5);
+            assertThat(load()).containsEntry("a", 5L);
+        }
+
         @Test
         void unreadableRecordHidesNoOther() throws Exception {
-            mStore.put("azurestage/left/odd", new byte[] {'[', '['});
+            mStore.put("azurestage/left/odd", "[".repeat(200_000).getBytes(StandardCharsets.UTF_8));
             write(mRecords, 5);
             assertThat(load()).containsOnly(Map.entry("a", 5L));
         }
