Refuse limits of a configuration that admit no request

Seen by callers (test, not reported): with maxHeaderBytes of 2^32 every connection would have failed.

Cause: the number was cast to an int, and negative limits were taken as they are. Guards, as they passed before: other odd numbers, versions and depth. OddInputTest.Configurations failed in two of its four tests before.

--- a/core/src/main/java/io/azurestage/core/route/RequestLimits.java
+++ b/core/src/main/java/io/azurestage/core/route/RequestLimits.java
@@ -15,6 +15,22 @@
     private static final int DEFAULT_HEADER_BYTES = 16 << 10;
     private static final long DEFAULT_BODY_BYTES = 64L << 20;
 
+    /**
+     * Validates the sizes.
+     *
+     * @throws IllegalArgumentException if a size is not positive
+     */
+    public RequestLimits {
+        if (maxHeaderBytes < 1 || maxBodyBytes < 1) {
+            throw new IllegalArgumentException(
+                    "limits of "
+                            + maxHeaderBytes
+                            + " bytes of header and "
+                            + maxBodyBytes
+                            + " bytes of body admit no request; use 1 or more");
+        }
+    }
+
     /**
      * Returns the limits that apply until a configuration is in force: 16 KiB of header, 64 MiB of
      * body, 3 s of header time-out and 15 s of idle time-out.
