Bound the length of values in events

An odd record or heartbeat of 200 KB was quoted whole in the reason of events 510 and 512, for each read of it. Values are now cut at 1,024 characters.

--- a/core/src/main/java/io/azurestage/core/event/Event.java
+++ b/core/src/main/java/io/azurestage/core/event/Event.java
@@ -23,8 +23,19 @@
         String partner,
         Map<String, String> fields) {
 
-    /** Copies the fields, so that the event is immutable. */
+    /** Longest value of a field; values may quote what another process has sent. */
+    static final int MAX_VALUE_LENGTH = 1_024;
+
+    /** Copies the fields, so that the event is immutable, and shortens long values. */
     public Event {
-        fields = Collections.unmodifiableMap(new TreeMap<>(fields));
+        Map<String, String> copy = new TreeMap<>(fields);
+        copy.replaceAll((name, value) -> shorten(value));
+        fields = Collections.unmodifiableMap(copy);
+    }
+
+    private static String shorten(String value) {
+        return value.length() <= MAX_VALUE_LENGTH
+                ? value
+                : value.substring(0, MAX_VALUE_LENGTH) + "... of " + value.length();
     }
 }
