Do not take a late refusal without an id for that of the next request

Seen by callers (tests; reported by other operators): a server refused a request, and wrote the refusal once more on the kept connection. The next request ran there, but its caller was told 503 'not run, try again', and the node could send it to a second server.

Cause: a failure without a request id was attributed to whatever request was waiting on the connection. Servers may omit the id when they refuse.

Such an answer is now taken for that of the first request of a connection only; on a kept connection the request counts as lost, which promises nothing, and idempotent ones are retried within the budget. Ruled out: copies with the id of the earlier request are skipped, as before.

--- a/bench/src/main/java/io/azurestage/bench/cost/Cost.java
+++ b/bench/src/main/java/io/azurestage/bench/cost/Cost.java
@@ -5,6 +5,7 @@
 import io.azurestage.relay.http.Field;
 import io.azurestage.relay.http.HttpPool;
 import io.azurestage.relay.http.OutboundRequest;
+import io.azurestage.relay.http.ResponseFilter;
 import io.azurestage.relay.http.Sockets;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -171,7 +172,7 @@
                 body.getBytes(StandardCharsets.UTF_8),
                 Duration.ofSeconds(1),
                 false,
-                (status, answer) -> true);
+                ResponseFilter.ANY);
     }
 
     private void awaitService(CostLoad load) {
--- a/bench/src/main/java/io/azurestage/bench/cost/CostLoad.java
+++ b/bench/src/main/java/io/azurestage/bench/cost/CostLoad.java
@@ -5,6 +5,7 @@
 import io.azurestage.relay.http.HttpPool;
 import io.azurestage.relay.http.OutboundRequest;
 import io.azurestage.relay.http.OutboundResult;
+import io.azurestage.relay.http.ResponseFilter;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -37,7 +38,7 @@
     static OutboundRequest request(
             String host, String target, List<Field> fields, Duration timeout) {
         return new OutboundRequest(
-                "GET", target, host, fields, new byte[0], timeout, false, (status, answer) -> true);
+                "GET", target, host, fields, new byte[0], timeout, false, ResponseFilter.ANY);
     }
 
     /** Sends requests for a time; responses may still be outstanding when this returns. */
--- a/bench/src/main/java/io/azurestage/bench/soak/SoakClient.java
+++ b/bench/src/main/java/io/azurestage/bench/soak/SoakClient.java
@@ -8,6 +8,7 @@
 import io.azurestage.relay.http.OutboundCall;
 import io.azurestage.relay.http.OutboundRequest;
 import io.azurestage.relay.http.OutboundResult;
+import io.azurestage.relay.http.ResponseFilter;
 import io.netty.channel.EventLoop;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -55,7 +56,7 @@
                         new byte[0],
                         DEADLINE.plusSeconds(1),
                         false,
-                        (status, answer) -> true);
+                        ResponseFilter.ANY);
         mLedger.sent(id, once, mNode);
         OutboundCall call = mPool.send(r, result -> ended(id, result));
         if (mRandom.nextDouble() < LEAVING_RATIO) {
--- a/bench/src/main/java/io/azurestage/bench/soak/SoakServer.java
+++ b/bench/src/main/java/io/azurestage/bench/soak/SoakServer.java
@@ -10,6 +10,7 @@
 import io.azurestage.relay.http.InboundRequest;
 import io.azurestage.relay.http.OutboundRequest;
 import io.azurestage.relay.http.OutboundResult;
+import io.azurestage.relay.http.ResponseFilter;
 import io.azurestage.relay.http.Reply;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -144,7 +145,7 @@
                         body.getBytes(StandardCharsets.UTF_8),
                         Duration.ofSeconds(1),
                         false,
-                        (status, answer) -> true);
+                        ResponseFilter.ANY);
         mHeartbeats.send(
                 r,
                 result -> {
@@ -178,7 +179,7 @@
                         new byte[0],
                         TIMEOUT_OF_CALLS,
                         false,
-                        (status, answer) -> true);
+                        ResponseFilter.ANY);
         mCalls.send(
                 call, result -> afterServiceTime(() -> x.reply(reply(statusAfter(result), id))));
     }
--- a/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
+++ b/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
@@ -1,5 +1,6 @@
 package io.azurestage.relay.http;
 
+import io.azurestage.relay.http.ResponseFilter.Owner;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -55,6 +56,7 @@
     private ByteArrayOutputStream mBody;
     private ResponseBufferBudget.Reservation mReservation;
     private int mBytesBeforeBody;
+    private long mRequestsSent;
     private boolean mSkipResponse;
     private boolean mFailed;
     private long mIdleLimitNanos = DEFAULT_IDLE_LIMIT_NANOS;
@@ -106,6 +108,7 @@
     void send(OutboundCall call) {
         mCall = call;
         mBytesBeforeBody = 0;
+        mRequestsSent++;
         call.sentOn(mContext.channel());
         OutboundRequest r = call.request();
         mDecoder.expectResponseTo(r.method());
@@ -156,7 +159,12 @@
         mHead = r;
         mFields = Fields.endToEnd(r.headers());
         mBody = new ByteArrayOutputStream();
-        mSkipResponse = !mCall.request().responseFilter().test(r.status().code(), mFields);
+        Owner owner = mCall.request().responseFilter().owner(r.status().code(), mFields);
+        if (owner == Owner.UNKNOWN && mRequestsSent > 1) {
+            fail("an answer on a kept connection does not say to which request it belongs");
+            return;
+        }
+        mSkipResponse = owner == Owner.OTHER_REQUEST;
     }
 
     private void onContent(HttpContent c) {
--- a/relay/src/main/java/io/azurestage/relay/http/OutboundRequest.java
+++ b/relay/src/main/java/io/azurestage/relay/http/OutboundRequest.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.function.BiPredicate;
 
 /**
  * A request to a server.
@@ -15,8 +14,7 @@
  * @param timeout timeout for the complete response, including the connection setup
  * @param freshOnly whether to avoid connections that have been idle for long, which the server may
  *     be closing; set for requests that must not be sent twice
- * @param responseFilter tests by status and header fields whether a response belongs to this
- *     request; other responses are skipped
+ * @param responseFilter decides whether a response belongs to this request
  */
 public record OutboundRequest(
         String method,
@@ -26,4 +24,4 @@
         byte[] body,
         Duration timeout,
         boolean freshOnly,
-        BiPredicate<Integer, List<Field>> responseFilter) {}
+        ResponseFilter responseFilter) {}
--- a/relay/src/main/java/io/azurestage/relay/owner/BackendCall.java
+++ b/relay/src/main/java/io/azurestage/relay/owner/BackendCall.java
@@ -20,10 +20,12 @@
 import io.azurestage.relay.http.OutboundCall;
 import io.azurestage.relay.http.OutboundRequest;
 import io.azurestage.relay.http.OutboundResult;
+import io.azurestage.relay.http.ResponseFilter.Owner;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -187,14 +189,19 @@
                 mSpec.body(),
                 remaining,
                 !mSpec.idempotent(),
-                this::matchesRequest);
+                this::owner);
     }
 
-    /** Servers return the request id, but may omit it when they refuse to run a request. */
-    private boolean matchesRequest(int status, List<Field> answer) {
-        return Fields.first(answer, mBackend.names().requestId())
-                .map(id -> id.equals(mSpec.requestId()))
-                .orElse(!isSuccess(status));
+    /**
+     * Servers return the request id, but may omit it when they refuse or fail. A success without it
+     * belongs to no request.
+     */
+    private Owner owner(int status, List<Field> answer) {
+        Optional<String> id = Fields.first(answer, mBackend.names().requestId());
+        if (id.isEmpty()) {
+            return isSuccess(status) ? Owner.OTHER_REQUEST : Owner.UNKNOWN;
+        }
+        return id.get().equals(mSpec.requestId()) ? Owner.THIS_REQUEST : Owner.OTHER_REQUEST;
     }
 
     /** A 504 means that the request ran out of time, which is not a failure of the server. */
--- a/relay/src/test/java/io/azurestage/relay/RelayScenario.java
+++ b/relay/src/test/java/io/azurestage/relay/RelayScenario.java
@@ -204,6 +204,18 @@
     RawReply sendRaw(
             InetSocketAddress entry, String method, String target, String lines, String body)
             throws IOException {
+        return sendRaw(entry, "request-1", method, target, lines, body);
+    }
+
+    /** Sends a request under an id of its own. */
+    RawReply sendRaw(
+            InetSocketAddress entry,
+            String id,
+            String method,
+            String target,
+            String lines,
+            String body)
+            throws IOException {
         try (Socket s = new Socket("127.0.0.1", entry.getPort())) {
             s.setSoTimeout(10_000);
             s.getOutputStream()
@@ -212,8 +224,9 @@
                                     method
                                             + " "
                                             + target
-                                            + " HTTP/1.1\r\nHost: h\r\nId: request-1\r\n"
-                                            + "Left-Ms: 5000\r\nCaller: forged\r\n"
+                                            + " HTTP/1.1\r\nHost: h\r\nId: "
+                                            + id
+                                            + "\r\nLeft-Ms: 5000\r\nCaller: forged\r\n"
                                             + lines
                                             + "Connection: close\r\nContent-Length: "
                                             + body.length()
--- a/relay/src/test/java/io/azurestage/relay/http/HttpPoolTest.java
+++ b/relay/src/test/java/io/azurestage/relay/http/HttpPoolTest.java
@@ -52,7 +52,10 @@
                 new byte[0],
                 timeout,
                 false,
-                (status, fields) -> Fields.first(fields, "Id").equals(Optional.of("one")));
+                (status, fields) ->
+                        Fields.first(fields, "Id").equals(Optional.of("one"))
+                                ? ResponseFilter.Owner.THIS_REQUEST
+                                : ResponseFilter.Owner.OTHER_REQUEST);
     }
 
     private OutboundResult send(Duration timeout) throws Exception {
