List keys again after a change that could not be processed

Not seen by callers.

Such a failure is now logged and the keys are listed again, with the delays of RetryBackoff.

--- a/relay/src/main/java/io/azurestage/relay/fleet/PrefixFeed.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/PrefixFeed.java
@@ -1,5 +1,6 @@
 package io.azurestage.relay.fleet;
 
+import com.google.common.flogger.FluentLogger;
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
 import io.azurestage.store.PlatformStore;
@@ -42,6 +43,8 @@
         void removed(String key);
     }
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final EventLoop mLoop;
     private final PlatformStore mStore;
     private final String mPrefix;
@@ -106,9 +109,11 @@
                 mStoreDown = false;
                 mEvents.record(EventType.STORE_UP, Map.of("prefix", mPrefix));
             }
+            if (!deliver(() -> mListener.listed(f.values()))) {
+                return;
+            }
             mListed = true;
             mBackoff.reset();
-            mListener.listed(f.values());
             mWatch = mStore.watch(mPrefix, true, f.revision() + 1, e -> dispatch(e));
         } else if (result instanceof ReadResult.Unavailable u) {
             onFailure(u.reason());
@@ -128,14 +133,32 @@
             return;
         }
         if (e instanceof WatchEvent.Put p) {
-            mListener.put(p.value());
+            deliver(() -> mListener.put(p.value()));
         } else if (e instanceof WatchEvent.Removed r) {
-            mListener.removed(r.key());
+            deliver(() -> mListener.removed(r.key()));
         } else if (e instanceof WatchEvent.Broken b) {
             onFailure(b.reason());
         }
     }
 
+    /**
+     * Runs a call of the listener. If it fails, the keys are listed again later: an exception that
+     * reaches the store's client would end the watch without a further call.
+     *
+     * @return whether the listener has returned normally
+     */
+    private boolean deliver(Runnable call) {
+        try {
+            call.run();
+            return true;
+        } catch (RuntimeException e) {
+            LOGGER.atSevere().withCause(e).atMostEvery(1, TimeUnit.SECONDS).log(
+                    "a change of %s was not processed; listing the keys again", mPrefix);
+            onFailure("not processed: " + e);
+            return false;
+        }
+    }
+
     private void onFailure(String reason) {
         closeWatch();
         if (!mStoreDown) {
