Deregister and keep the id in soaks

Servers of the soak left in one way only, by a heartbeat, and always came back under a new id. Half of them now deregister, with their last heartbeat late, and half of all keep their id, drawn from the event's delay so that the series of each seed stays the same.

--- a/bench/src/main/java/io/azurestage/bench/soak/Soak.java
+++ b/bench/src/main/java/io/azurestage/bench/soak/Soak.java
@@ -297,7 +297,13 @@
             case LIMIT ->
                     mServers.get(target)
                             .limit(2 + mRandom.nextInt(20), Duration.ofMillis(6_000 + millis));
-            case REPLACE -> mServers.get(target).replace(Duration.ofMillis(3_000 + millis));
+            case REPLACE ->
+                    // Drawn from the delay, so that the series of each seed stays the same.
+                    mServers.get(target)
+                            .replace(
+                                    Duration.ofMillis(3_000 + millis),
+                                    millis % 2 == 0,
+                                    millis / 2 % 2 == 0);
             default -> throw new IllegalStateException("unknown event " + event);
         }
     }
--- a/bench/src/main/java/io/azurestage/bench/soak/SoakServer.java
+++ b/bench/src/main/java/io/azurestage/bench/soak/SoakServer.java
@@ -44,10 +44,13 @@
     private final HttpPool mHeartbeats;
     private final HttpPool mCalls;
     private int mIncarnation;
+    private int mIdNumber;
     private long mBornMillis;
     private long mSequence;
     private long mCallCount;
     private boolean mDraining;
+    private boolean mDeregistered;
+    private boolean mKeepsId;
     private OptionalDouble mLimit = OptionalDouble.empty();
 
     SoakServer(
@@ -70,7 +73,7 @@
         mCalls = new HttpPool(mLoop, TimeSource.system(), node.entry(), connect);
         mLoop.execute(this::startIncarnation);
         group.scheduleAtFixedRate(
-                () -> mLoop.execute(() -> sendHeartbeat(() -> {})),
+                () -> mLoop.execute(this::report),
                 100,
                 500,
                 TimeUnit.MILLISECONDS);
@@ -78,14 +81,28 @@
 
     private void startIncarnation() {
         mIncarnation++;
+        mIdNumber += mKeepsId ? 0 : 1;
         mBornMillis = System.currentTimeMillis();
         mSequence = 0;
         mDraining = false;
+        mDeregistered = false;
         mLimit = OptionalDouble.empty();
     }
 
     private String id() {
-        return mNode.name() + "-server-" + mIncarnation;
+        return mNode.name() + "-server-" + mIdNumber;
+    }
+
+    /** Name of the incarnation in the ledger; several incarnations may have one id. */
+    private String label() {
+        return id() + "/" + mIncarnation;
+    }
+
+    private void report() {
+        if (mDeregistered) {
+            return;
+        }
+        sendHeartbeat(++mSequence, () -> {});
     }
 
     /** States a rate limit for a time. */
@@ -97,7 +114,7 @@
                     }
                     mLimit = OptionalDouble.of(perSecond);
                     long now = System.nanoTime();
-                    mLedger.limited(id(), perSecond, now, now + length.toNanos());
+                    mLedger.limited(label(), perSecond, now, now + length.toNanos());
                     int incarnation = mIncarnation;
                     mLoop.schedule(
                             () -> {
@@ -110,21 +127,50 @@
                 });
     }
 
-    /** Leaves, and is replaced by a new incarnation at the same address. */
-    void replace(Duration after) {
+    /**
+     * Leaves, and is replaced by a new incarnation at the same address.
+     *
+     * @param after time until the new incarnation starts
+     * @param deregisters whether the server deregisters first, in place of reporting its drain; its
+     *     last heartbeat then arrives late
+     * @param keepsId whether the new incarnation has the same id
+     */
+    void replace(Duration after, boolean deregisters, boolean keepsId) {
         mLoop.execute(
                 () -> {
-                    if (mDraining) {
+                    if (mDraining || mDeregistered) {
                         return;
                     }
-                    mDraining = true;
-                    String leaving = id();
-                    sendHeartbeat(() -> mLedger.leaving(leaving));
+                    mKeepsId = keepsId;
+                    if (deregisters) {
+                        deregister(after);
+                    } else {
+                        String leaving = label();
+                        mDraining = true;
+                        sendHeartbeat(++mSequence, () -> mLedger.leaving(leaving));
+                    }
                     mLoop.schedule(this::startIncarnation, after.toMillis(), TimeUnit.MILLISECONDS);
                 });
     }
 
-    private void sendHeartbeat(Runnable acknowledged) {
+    private void deregister(Duration after) {
+        mDeregistered = true;
+        String leaving = label();
+        int incarnation = mIncarnation;
+        long lateSequence = ++mSequence;
+        String body = "{\"born\":%d}".formatted(mBornMillis);
+        send("/-/Instances.Deregister/" + id(), body, () -> mLedger.leaving(leaving));
+        mLoop.schedule(
+                () -> {
+                    if (incarnation == mIncarnation) {
+                        sendHeartbeat(lateSequence, () -> {});
+                    }
+                },
+                after.toMillis() / 2,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void sendHeartbeat(long sequence, Runnable acknowledged) {
         String body =
                 """
                 {"service":"%s","address":"127.0.0.1:%d","zone":"d","version":"v1","slots":%d,
@@ -134,12 +180,16 @@
                                 mListener.port(),
                                 SLOTS,
                                 mDraining ? "draining" : "ready",
-                                ++mSequence,
+                                sequence,
                                 mBornMillis);
+        send("/-/Instances.Heartbeat/" + id(), body, acknowledged);
+    }
+
+    private void send(String target, String body, Runnable acknowledged) {
         OutboundRequest r =
                 new OutboundRequest(
                         "POST",
-                        "/-/Instances.Heartbeat/" + id(),
+                        target,
                         "node",
                         List.of(new Field("Content-Type", "application/json")),
                         body.getBytes(StandardCharsets.UTF_8),
@@ -163,7 +213,7 @@
             return;
         }
         boolean isCall = id.startsWith(CALL_PREFIX);
-        mLedger.arrived(id(), id, isCall);
+        mLedger.arrived(label(), id, isCall);
         if (!mCallsInner || isCall) {
             afterServiceTime(() -> x.reply(reply(200, id)));
             return;
