--- a/bench/src/main/java/io/azurestage/bench/soak/SoakServer.java
+++ b/bench/src/main/java/io/azurestage/bench/soak/SoakServer.java
@@ -10,8 +10,8 @@
 import io.azurestage.relay.http.InboundRequest;
 import io.azurestage.relay.http.OutboundRequest;
 import io.azurestage.relay.http.OutboundResult;
-import io.azurestage.relay.http.ResponseFilter;
 import io.azurestage.relay.http.Reply;
+import io.azurestage.relay.http.ResponseFilter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.net.InetAddress;
@@ -73,10 +73,7 @@
         mCalls = new HttpPool(mLoop, TimeSource.system(), node.entry(), connect);
         mLoop.execute(this::startIncarnation);
         group.scheduleAtFixedRate(
-                () -> mLoop.execute(this::report),
-                100,
-                500,
-                TimeUnit.MILLISECONDS);
+                () -> mLoop.execute(this::report), 100, 500, TimeUnit.MILLISECONDS);
     }
 
     private void startIncarnation() {
--- a/core/src/test/java/io/azurestage/core/event/EventTest.java
+++ b/core/src/test/java/io/azurestage/core/event/EventTest.java
@@ -9,7 +9,12 @@
 class EventTest {
     private static Event event(String reason) {
         return new Event(
-                new HlcTime(1, 0), "n", EventType.ENTRY_UNREADABLE, "", "", Map.of("reason", reason));
+                new HlcTime(1, 0),
+                "n",
+                EventType.ENTRY_UNREADABLE,
+                "",
+                "",
+                Map.of("reason", reason));
     }
 
     // Guards against log lines as long as what another process has sent.
--- a/mesh/src/main/java/io/azurestage/mesh/Address.java
+++ b/mesh/src/main/java/io/azurestage/mesh/Address.java
@@ -28,9 +28,7 @@
             return Optional.empty();
         }
         int port = Integer.parseInt(digits);
-        return port > MAX_PORT
-                ? Optional.empty()
-                : Optional.of(new InetSocketAddress(ip, port));
+        return port > MAX_PORT ? Optional.empty() : Optional.of(new InetSocketAddress(ip, port));
     }
 
     /**
--- a/relay/src/main/java/io/azurestage/relay/ServerReports.java
+++ b/relay/src/main/java/io/azurestage/relay/ServerReports.java
@@ -30,10 +30,7 @@
      * @param leaveRecords records of servers that leave
      * @param onServerChanged called when the server or its state has changed
      */
-    ServerReports(
-            BackendTracker tracker,
-            LeaveRecords leaveRecords,
-            Runnable onServerChanged) {
+    ServerReports(BackendTracker tracker, LeaveRecords leaveRecords, Runnable onServerChanged) {
         mTracker = tracker;
         mLeaveRecords = leaveRecords;
         mOnServerChanged = onServerChanged;
--- a/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
@@ -154,8 +154,7 @@
      */
     public void write(String serverId, long startedAtMillis, Runnable done) {
         RunOnce once = new RunOnce(done);
-        mRecords.computeIfAbsent(
-                        serverId, id -> new LeaveRecord(id, mLoop, mTime, mStore, mEvents))
+        mRecords.computeIfAbsent(serverId, id -> new LeaveRecord(id, mLoop, mTime, mStore, mEvents))
                 .write(startedAtMillis, once);
         if (!once.hasRun()) {
             mLoop.schedule(once, WRITE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/relay/src/test/java/io/azurestage/relay/RepeatedRefusalTest.java
+++ b/relay/src/test/java/io/azurestage/relay/RepeatedRefusalTest.java
@@ -7,8 +7,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against a server that writes an earlier refusal once more on a kept connection: the request
- * after it runs, and must not be reported as not run.
+ * Guards against a server that writes an earlier refusal once more on a kept connection: the
+ * request after it runs, and must not be reported as not run.
  */
 class RepeatedRefusalTest extends RelayScenario {
     private static final int REFUSED = 503;
@@ -27,8 +27,7 @@
 
     private int secondStatus(InetSocketAddress entry, String method, String target)
             throws Exception {
-        assertThat(sendRaw(entry, "first", method, target, "", "").status())
-                .isEqualTo(REFUSED);
+        assertThat(sendRaw(entry, "first", method, target, "", "").status()).isEqualTo(REFUSED);
         int status = sendRaw(entry, method, target, "").status();
         List<RawServer.Request> received = mServer.requests();
         assertThat(received).as("requests that reached the server").hasSize(2);
@@ -37,8 +36,7 @@
 
     @Test
     void refusalWithoutAnIdIsNotTakenForThatOfTheNextRequest() throws Exception {
-        InetSocketAddress entry =
-                startRepeating("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n" + END);
+        InetSocketAddress entry = startRepeating("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n" + END);
         assertThat(secondStatus(entry, "POST", "/w/")).isEqualTo(502);
     }
 
--- a/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
@@ -56,8 +56,7 @@
 
     /** Returns a heartbeat of a server that started at 5. */
     private static Heartbeat report(long sequence, boolean draining) {
-        return new Heartbeat(
-                "a", 5, "books", "10.0.0.1:80", 15, draining, Duration.ZERO, sequence);
+        return new Heartbeat("a", 5, "books", "10.0.0.1:80", 15, draining, Duration.ZERO, sequence);
     }
 
     /** Sends a heartbeat, and waits for the acknowledgement. */
--- a/relay/src/test/java/io/azurestage/relay/http/TruncatedRequestTest.java
+++ b/relay/src/test/java/io/azurestage/relay/http/TruncatedRequestTest.java
@@ -14,8 +14,7 @@
 
 /** Guards against a request that its caller stops writing, and that is handled as if complete. */
 class TruncatedRequestTest {
-    private static final String WHOLE =
-            "GET /r/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    private static final String WHOLE = "GET /r/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
     private final Loop mLoop = new Loop();
     private final AtomicInteger mHandled = new AtomicInteger();
--- a/relay/src/test/java/io/azurestage/relay/link/OddFramesTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/OddFramesTest.java
@@ -30,8 +30,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against frames of another writer on a link that end a node or its other links: such a frame
- * closes its own connection.
+ * Guards against frames of another writer on a link that end a node or its other links: such a
+ * frame closes its own connection.
  */
 class OddFramesTest {
     private static final int START_GROUP_1 = 0x0b;
@@ -147,8 +147,7 @@
 
     @Test
     void callWithOddNumbersLeavesOtherLinksAlone() throws Exception {
-        Hello hello =
-                Hello.newBuilder().setNodeId("odd").setIncarnation(Long.MIN_VALUE).build();
+        Hello hello = Hello.newBuilder().setNodeId("odd").setIncarnation(Long.MIN_VALUE).build();
         CallStart start =
                 CallStart.newBuilder()
                         .setCallId(Long.MIN_VALUE)
