--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -358,9 +358,8 @@
      * Handles a heartbeat of the local backend server. Call it on the event loop.
      *
      * @param h the heartbeat
-     * @param acknowledge acknowledges the heartbeat to the server. If the heartbeat is the first
-     *     that reports draining, it runs once that is recorded or the store has not answered in
-     *     time
+     * @param acknowledge acknowledges the heartbeat to the server. If the server is leaving, it
+     *     runs once that is recorded or the store has not answered in time
      */
     public void onHeartbeat(Heartbeat h, Runnable acknowledge) {
         mReports.onHeartbeat(h, acknowledge);
--- a/relay/src/main/java/io/azurestage/relay/ServerReports.java
+++ b/relay/src/main/java/io/azurestage/relay/ServerReports.java
@@ -10,8 +10,8 @@
 /**
  * Processes what the backend server beside a node reports of itself: heartbeats, deregistrations,
  * and answers in which it states that it leaves. A report that it leaves is acknowledged once it is
- * recorded, so that the node also heeds it after a restart. Heartbeats are kept until the records
- * of the process before are read. Confined to the event loop.
+ * recorded, so that it also applies after a restart of the node. Heartbeats are kept until the
+ * records of the previous process are read. Confined to the event loop.
  */
 final class ServerReports {
     /** A server sends about two in the time for which a starting node waits for the records. */
@@ -53,7 +53,7 @@
         mEarlyHeartbeats.clear();
     }
 
-    /** Takes a server without heartbeats for gone. Call it every 100 ms. */
+    /** Marks a server without heartbeats as gone. Call it every 100 ms. */
     void tick() {
         if (mTracker.checkHeartbeatTimeout()) {
             mOnServerChanged.run();
--- a/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
@@ -199,7 +199,7 @@
         // Guards against a node that gives up reading: it used a server that had left until the
         // server exited.
         @Test
-        void recordsAreHeededWhenTheStoreAnswersLater() throws Exception {
+        void recordsAreAppliedWhenTheStoreAnswersLater() throws Exception {
             restart();
             awaitWaitOver();
             mStore.setDown(false);
@@ -213,7 +213,7 @@
 
     // Guards against a fleet whose records push that of the node's own server out of memory.
     @Test
-    void recordIsHeededAmongThoseOfAWholeFleet() throws Exception {
+    void recordIsAppliedAmongThoseOfAWholeFleet() throws Exception {
         mStore.put(RECORD, "5".getBytes(StandardCharsets.UTF_8));
         for (int i = 0; i < FLEET; i++) {
             mStore.put("azurestage/left/b" + i, "5".getBytes(StandardCharsets.UTF_8));
