Count an answer whose status line is not that of HTTP/1 as lost

Callers saw (report of an operator): a server in trouble sent an answer with status 000, and its caller got it as an answer.

Cause: Netty's decoder splits the line at white space and parses the words leniently; nothing after it checks them. Ruled out: the links and the entry, which pass on the status that the node beside the server has read.

Each status line is now matched against the grammar of RFC 9112, with the statuses that RFC 9110 allows (100 to 599). What does not match gets a failed decoder result, so the request counts as lost: 502, or a retry where the request may run again. The space before an empty reason phrase may be missing, as many servers omit it. The check is in the decoder of the pool, which the servers and the platform's store share.

--- a/relay/src/main/java/io/azurestage/relay/http/ResponseDecoder.java
+++ b/relay/src/main/java/io/azurestage/relay/http/ResponseDecoder.java
@@ -1,14 +1,34 @@
 package io.azurestage.relay.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.regex.Pattern;
 
-/** Decodes a server's responses and detects surplus bytes after a response. */
+/**
+ * Decodes a server's responses and detects surplus bytes after a response. The heads that Netty
+ * accepts although RFC 9112 does not allow them get a failed decoder result.
+ */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_HEAD_BYTES = 64 << 10;
 
+    /**
+     * Status line of RFC 9112, section 4, with a status that RFC 9110, section 15, allows. The
+     * space before an empty reason phrase may be missing, as many servers omit it.
+     */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/1\\.\\d [1-5]\\d\\d(?: [\\t\\x20-\\x7e\\x80-\\xff]*+)?\\r");
+
     private boolean mWithoutBody;
+    private boolean mInHead = true;
+    private boolean mInFields;
 
     ResponseDecoder() {
         super(
@@ -31,4 +51,50 @@
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return mWithoutBody || super.isContentAlwaysEmpty(message);
     }
+
+    /** Decodes a part of the input; Netty consumes whole lines of a head and stops at its end. */
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
+            throws Exception {
+        int from = in.readerIndex();
+        int decoded = out.size();
+        super.decode(ctx, in, out);
+        if (mInHead && !areValidLines(in, from, in.readerIndex())) {
+            reject(out, decoded);
+        }
+        for (int i = decoded; i < out.size(); i++) {
+            mInHead = out.get(i) instanceof LastHttpContent;
+            mInFields &= !mInHead;
+        }
+    }
+
+    private boolean areValidLines(ByteBuf in, int from, int to) {
+        for (int line = from; line < to; ) {
+            int lineFeed = in.indexOf(line, to, (byte) '\n');
+            if (lineFeed < 0 || !isValidLine(in, line, lineFeed)) {
+                return false;
+            }
+            mInFields = true;
+            line = lineFeed + 1;
+        }
+        return true;
+    }
+
+    private boolean isValidLine(ByteBuf in, int from, int to) {
+        if (mInFields) {
+            return true;
+        }
+        String line = in.toString(from, to - from, StandardCharsets.ISO_8859_1);
+        return STATUS_LINE.matcher(line).matches();
+    }
+
+    private void reject(List<Object> out, int decoded) {
+        if (out.size() == decoded) {
+            out.add(createInvalidMessage());
+        }
+        ((HttpObject) out.get(decoded))
+                .setDecoderResult(
+                        DecoderResult.failure(
+                                new IllegalArgumentException("not a head of HTTP/1.1")));
+    }
 }
--- /dev/null
+++ b/relay/src/test/java/io/azurestage/relay/http/ResponseDecoderTest.java
@@ -0,0 +1,118 @@
+package io.azurestage.relay.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against bytes that the grammar of RFC 9112 does not allow and that pass as a response. */
+class ResponseDecoderTest {
+    private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
+    private static final String FIELDS = "Id: one\r\nContent-Length: 4\r\n\r\n";
+    private static final String BODY = "body";
+
+    /** Reports whether bytes are decoded as a complete response without an error. */
+    private static boolean isAccepted(String bytes) {
+        EmbeddedChannel channel = new EmbeddedChannel(new ResponseDecoder());
+        channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+        channel.finish();
+        boolean valid = true;
+        boolean complete = false;
+        for (HttpObject o = channel.readInbound(); o != null; o = channel.readInbound()) {
+            valid &= o.decoderResult().isSuccess();
+            complete |= o instanceof LastHttpContent;
+            ReferenceCountUtil.release(o);
+        }
+        return valid && complete;
+    }
+
+    /** Replaces a character, or inserts one before it. */
+    private static String mutate(String text, int at, int c, boolean insert) {
+        return text.substring(0, at) + (char) c + text.substring(insert ? at : at + 1);
+    }
+
+    @Nested
+    class StatusLine {
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 200 OK",
+                    "HTTP/1.1 200 ",
+                    "HTTP/1.1 200",
+                    "HTTP/1.0 599 \u00fcber\tall",
+                    "HTTP/1.9 404  Not found"
+                })
+        void validIsAccepted(String line) {
+            assertThat(isAccepted(line + "\r\n" + FIELDS + BODY)).isTrue();
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 000 OK",
+                    "HTTP/1.1 099 OK",
+                    "HTTP/1.1 20 OK",
+                    "HTTP/1.1 0200 OK",
+                    "HTTP/1.1 +200 OK",
+                    "HTTP/1.1 600 OK",
+                    "HTTP/1.1 1000 OK"
+                })
+        void statusOutsideTheGrammarIsRejected(String line) {
+            assertThat(isAccepted(line + "\r\n" + FIELDS + BODY)).isFalse();
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "http/1.1 200 OK",
+                    "HTTP/2.0 200 OK",
+                    "HTTP/0.9 200 OK",
+                    "HTTP/1.1  200 OK",
+                    "HTTP/1.1\t200 OK",
+                    "HTTP/1.1 200\tOK",
+                    "HTTP/1.1 200 O\u0001K",
+                    " HTTP/1.1 200 OK",
+                    "\r\nHTTP/1.1 200 OK"
+                })
+        void otherLineOutsideTheGrammarIsRejected(String line) {
+            assertThat(isAccepted(line + "\r\n" + FIELDS + BODY)).isFalse();
+        }
+
+        @Test
+        void secondResponseIsChecked() {
+            String informational = "HTTP/1.1 100 Continue\r\n\r\n";
+            assertThat(isAccepted(informational + STATUS_LINE + FIELDS + BODY)).isTrue();
+            assertThat(isAccepted(informational + "HTTP/1.1 000 OK\r\n" + FIELDS + BODY)).isFalse();
+        }
+    }
+
+    @Group
+    class Mutations {
+        private static final Pattern VALID_START =
+                Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9]{2}( [\t -~\u0080-\u00ff]*)?\r\n");
+
+        @Property(seed = "43", tries = 5_000)
+        void acceptedStatusLineMatchesTheGrammar(
+                @ForAll @IntRange(max = 16) int at,
+                @ForAll @IntRange(max = 255) int c,
+                @ForAll boolean insert) {
+            String line = mutate(STATUS_LINE, at, c, insert);
+            if (isAccepted(line + FIELDS + BODY)) {
+                assertThat(VALID_START.matcher(line + FIELDS).lookingAt()).as(line).isTrue();
+            }
+        }
+    }
+}
