Read on as HTTP after an unrequested switch of protocols

Callers saw (test): a server answers 101 and goes on in another protocol. The request waited until its deadline, where the bytes show at once that no answer will come.

Cause: Netty's decoder passes everything after a 101 on as raw bytes, which the connection ignored. Requests never ask for another protocol (Upgrade is not forwarded), so 101 is now an informational response like others, and what follows must be a response.

--- a/relay/src/main/java/io/azurestage/relay/http/ResponseDecoder.java
+++ b/relay/src/main/java/io/azurestage/relay/http/ResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
@@ -52,6 +53,12 @@
         return mWithoutBody || super.isContentAlwaysEmpty(message);
     }
 
+    /** Requests do not ask for another protocol, so what follows must be a response. */
+    @Override
+    protected boolean isSwitchingToNonHttp1Protocol(HttpResponse response) {
+        return false;
+    }
+
     /** Decodes a part of the input; Netty consumes whole lines of a head and stops at its end. */
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
--- a/relay/src/test/java/io/azurestage/relay/http/HttpPoolTest.java
+++ b/relay/src/test/java/io/azurestage/relay/http/HttpPoolTest.java
@@ -271,6 +271,22 @@
         }
     }
 
+    @Nested
+    class SwitchOfProtocols {
+        @Test
+        void bytesOfAnotherProtocolAreALoss() throws Exception {
+            serve(
+                    (r, s) ->
+                            s.getOutputStream()
+                                    .write(
+                                            RawServer.text(
+                                                    "HTTP/1.1 101 Switching Protocols\r\n"
+                                                            + "Upgrade: other\r\n\r\n"
+                                                            + "other bytes\r\n")));
+            assertThat(send(LONG_TIMEOUT)).isInstanceOf(OutboundResult.Lost.class);
+        }
+    }
+
     @Nested
     class BetweenResponses {
         @Test
