Deliver an answer without a length only after the end of its stream

The caller got that part as a complete 200 with the server's signature. The same happened when the node closed its connections itself, because a later incarnation of a silent server had reported.

Cause: Netty's decoder takes any end of the connection for the end of a body without a length, and only a failed read (exceptionCaught) kept it from being delivered. A failed write and a local close end the connection without it. Ruled out: the links, which carry whole answers only.

The connections of the pool now report the end of the stream apart from the end of the connection (ALLOW_HALF_CLOSURE), so an answer is complete only where its end was read. All other ends reach the first handler before the decoder and end the request as lost. After a failed write Netty closes the connection, so no end of the stream is read that a reset has caused.

Tests: CutResponseTest (reset during the upload, close of the pool) and BrokenAnswersTest.WithoutALength failed before; its other two tests hold before and after, among them an early answer whose stream ends while the upload goes on.

--- a/relay/src/main/java/io/azurestage/relay/http/HttpPool.java
+++ b/relay/src/main/java/io/azurestage/relay/http/HttpPool.java
@@ -55,7 +55,9 @@
                         .option(
                                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                                 (int) connectTimeout.toMillis())
-                        .option(ChannelOption.TCP_NODELAY, true);
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        // Reports the end of the stream apart from the end of the connection.
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true);
     }
 
     /**
--- a/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
+++ b/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -68,7 +69,7 @@
     }
 
     void addTo(ChannelPipeline pipeline) {
-        pipeline.addLast(new ByteCounter())
+        pipeline.addLast(new ConnectionGuard())
                 .addLast(mDecoder)
                 .addLast(new HttpRequestEncoder())
                 .addLast(this);
@@ -175,8 +176,7 @@
         if (!mSkipResponse && !buffer(c.content())) {
             return;
         }
-        // After a reset the decoder ends a response of unknown length as if it were complete.
-        if (c instanceof LastHttpContent && !mFailed) {
+        if (c instanceof LastHttpContent) {
             complete();
         }
     }
@@ -270,9 +270,12 @@
         fail("the connection failed: " + cause.getMessage());
     }
 
+    /** Handles the end of the stream, which the decoder takes for that of a body without length. */
     @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
-        fail("the server closed the connection before its answer was complete");
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE) {
+            fail("the server closed the connection before its answer was complete");
+        }
     }
 
     private void fail(String reason) {
@@ -287,8 +290,19 @@
         mContext.close();
     }
 
-    /** Counts raw bytes, including those that the decoder skips or reads as part of a head. */
-    private final class ByteCounter extends ChannelInboundHandlerAdapter {
+    /**
+     * Sees bytes and the end of the connection before the decoder does. Bytes are counted here,
+     * since the decoder skips some and keeps those of an incomplete head. A connection that ends
+     * without an end of the stream, by a reset, a failed write or a local close, ends the request
+     * here, since the decoder would report a body without length as complete.
+     */
+    private final class ConnectionGuard extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            fail("the connection broke before the answer was complete");
+            ctx.fireChannelInactive();
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             int n = ((ByteBuf) message).readableBytes();
--- a/relay/src/test/java/io/azurestage/relay/BrokenAnswersTest.java
+++ b/relay/src/test/java/io/azurestage/relay/BrokenAnswersTest.java
@@ -2,8 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.azurestage.core.backend.Heartbeat;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -13,6 +21,8 @@
  */
 class BrokenAnswersTest extends RelayScenario {
     private static final String LOST = "the answer was lost\n";
+    private static final String HEAD_AND_HALF =
+            "HTTP/1.1 200 OK\r\nId: request-1\r\nSigned: s\r\n\r\nhalf of it";
 
     /** Sends a request that runs once at most; the server answers it with the given bytes. */
     private RawReply replyTo(String first, String rest) throws Exception {
@@ -40,4 +50,34 @@
             assertLost(replyTo(line, "Content-Length: 4\r\n\r\nbody"));
         }
     }
+
+    @Nested
+    class WithoutALength {
+        /** The node closes its connections to the server when a later incarnation reports. */
+        @Test
+        void answerThatARestartedServerDidNotEndIsLost() throws Exception {
+            CountDownLatch halfWritten = new CountDownLatch(1);
+            InetSocketAddress entry =
+                    startNodes(
+                            (r, s) -> {
+                                s.getOutputStream().write(RawServer.text(HEAD_AND_HALF));
+                                halfWritten.countDown();
+                            });
+            CompletableFuture<RawReply> reply =
+                    CompletableFuture.supplyAsync(
+                            () -> {
+                                try {
+                                    return sendRaw(entry, "POST", "/w/", "once");
+                                } catch (IOException e) {
+                                    throw new UncheckedIOException(e);
+                                }
+                            });
+            assertThat(halfWritten.await(20, TimeUnit.SECONDS)).isTrue();
+            Heartbeat restarted =
+                    new Heartbeat(
+                            "server-1", 9, "books", mServer.address(), 10, false, Duration.ZERO, 1);
+            mLoop.run(() -> mRelays.get(1).onHeartbeat(restarted, () -> {}));
+            assertLost(reply.get(20, TimeUnit.SECONDS));
+        }
+    }
 }
