Count an answer in a transfer coding other than chunked as lost

Callers saw (tests, in the search for other answers that are taken wrongly): a body that is not the server's. With 'Transfer-Encoding: gzip, chunked' the chunks were joined and the field was dropped, so that the caller got the encoded bytes as the body; with 'gzip' or a coding that does not exist it got all bytes up to the close, chunk lengths among them.

Cause: Netty removes the chunks where chunked is the last coding and reads to the close otherwise; other codings are left to the application, and Transfer-Encoding ends at each hop. Requests ask for no coding (TE is not forwarded), so a server must not use one.

The decoder now accepts chunked alone. Ruled out: chunked twice, chunked with a length and chunked in HTTP/1.0, which Netty rejects; the tests are guards.

--- a/relay/src/main/java/io/azurestage/relay/http/ResponseDecoder.java
+++ b/relay/src/main/java/io/azurestage/relay/http/ResponseDecoder.java
@@ -4,6 +4,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -76,7 +79,8 @@
         int from = in.readerIndex();
         int decoded = out.size();
         super.decode(ctx, in, out);
-        if (mInHead && !areValidLines(in, from, in.readerIndex())) {
+        boolean valid = !mInHead || areValidLines(in, from, in.readerIndex());
+        if (!valid || out.size() > decoded && !isBodyDecoded(out.get(decoded))) {
             reject(out, decoded);
         }
         for (int i = decoded; i < out.size(); i++) {
@@ -106,6 +110,18 @@
         return STATUS_LINE.matcher(line).matches();
     }
 
+    /** Requests ask for no coding, and a body in one other than chunked would stay encoded. */
+    private static boolean isBodyDecoded(Object message) {
+        if (!(message instanceof HttpResponse)) {
+            return true;
+        }
+        HttpHeaders headers = ((HttpResponse) message).headers();
+        List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return codings.isEmpty()
+                || codings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+    }
+
     private void reject(List<Object> out, int decoded) {
         if (out.size() == decoded) {
             out.add(createInvalidMessage());
@@ -113,6 +129,6 @@
         ((HttpObject) out.get(decoded))
                 .setDecoderResult(
                         DecoderResult.failure(
-                                new IllegalArgumentException("not a head of HTTP/1.1")));
+                                new IllegalArgumentException("not a response of HTTP/1.1")));
     }
 }
--- a/relay/src/test/java/io/azurestage/relay/BrokenAnswersTest.java
+++ b/relay/src/test/java/io/azurestage/relay/BrokenAnswersTest.java
@@ -65,6 +65,16 @@
         }
     }
 
+    @Nested
+    class TransferCoding {
+        @ParameterizedTest
+        @ValueSource(strings = {"gzip", "gzip, chunked", "xchunked"})
+        void isNotPassedOnWithoutBeingDecoded(String coding) throws Exception {
+            String field = "Transfer-Encoding: " + coding + "\r\n\r\n";
+            assertLost(replyTo("HTTP/1.1 200 OK", field + "4\r\nbody\r\n0\r\n\r\n"));
+        }
+    }
+
     @Nested
     class WithoutALength {
         /** The node closes its connections to the server when a later incarnation reports. */
--- a/relay/src/test/java/io/azurestage/relay/http/ResponseDecoderTest.java
+++ b/relay/src/test/java/io/azurestage/relay/http/ResponseDecoderTest.java
@@ -161,6 +161,45 @@
         }
     }
 
+    @Nested
+    class TransferCoding {
+        private static final String CHUNKS = "\r\n4\r\nbody\r\n0\r\n\r\n";
+
+        @ParameterizedTest
+        @ValueSource(strings = {"chunked", "Chunked", " chunked\t"})
+        void chunkedIsAccepted(String coding) {
+            String field = "Transfer-Encoding:" + coding + "\r\n";
+            assertThat(isAccepted(STATUS_LINE + field + CHUNKS)).isTrue();
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "gzip",
+                    "gzip, chunked",
+                    "chunked, chunked",
+                    "chunked, gzip",
+                    "xchunked",
+                    "chunked;q=1",
+                    "identity",
+                    ""
+                })
+        void otherCodingIsRejected(String coding) {
+            String field = "Transfer-Encoding: " + coding + "\r\n";
+            assertThat(isAccepted(STATUS_LINE + field + CHUNKS)).isFalse();
+            assertThat(isAccepted(STATUS_LINE + field + FIELDS + BODY)).isFalse();
+        }
+
+        @Test
+        void chunkedTwiceOrWithALengthOrInHttp10IsRejected() {
+            String field = "Transfer-Encoding: chunked\r\n";
+            assertThat(isAccepted(STATUS_LINE + field + field + CHUNKS)).isFalse();
+            assertThat(isAccepted(STATUS_LINE + field + "Content-Length: 4\r\n" + CHUNKS))
+                    .isFalse();
+            assertThat(isAccepted("HTTP/1.0 200 OK\r\n" + field + CHUNKS)).isFalse();
+        }
+    }
+
     @Group
     class Mutations {
         private static final String FIELD_VALUE = "[\t -~\u0080-\u00ff]*";
