Check what Jetty leaves open in the heads that the product's node reads

Callers saw (tests of the product's own node): a body of more than 1 MiB without a length that a server broke off, as a complete one; the same for a short body after the status line 'HTTP/2.0 200 OK'; the statuses 600 to 999 and 101 as answers; and chunks in 'gzip, chunked' as the body.

Cause: Jetty's parser accepts these heads. Only the end of a response that fits the buffer was checked for a length, not that of one that is streamed, and the check took the version that the server had written for that of the connection. Ruled out: other status lines and field lines outside the grammar, which Jetty rejects; their tests are guards.

ResponseHead now checks status, version, transfer coding and length once the head has been received, before any of the body is kept or passed on. An empty body without a length is a failure too, since it may be one that broke off. Between nodes HTTP/2 delimits the body, so only the status is checked there.

--- a/node/src/main/java/io/azurestage/node/BackendCall.java
+++ b/node/src/main/java/io/azurestage/node/BackendCall.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpVersion;
 
 /** One call to the local backend server, from admission to its answer. */
 final class BackendCall implements AdmissionListener, ResponseHandler {
@@ -113,7 +114,7 @@
         if (!mTicketed) {
             mRequest.cancellation().onCancel(() -> request.abort(new CallerGoneException()));
         }
-        new ResponseReceiver(this).send(request);
+        new ResponseReceiver(this, HttpVersion.HTTP_1_1).send(request);
     }
 
     private Request request() {
--- a/node/src/main/java/io/azurestage/node/ForwardedCall.java
+++ b/node/src/main/java/io/azurestage/node/ForwardedCall.java
@@ -31,6 +31,7 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpVersion;
 
 /** One call to a backend server of another service, including all of its attempts. */
 final class ForwardedCall {
@@ -138,7 +139,8 @@
                 mCall.partner(),
                 Map.of("service", mCall.service(), "to", e.node().nodeId()));
         mCancellation.onCancel(() -> request.abort(new CallerGoneException()));
-        new ResponseReceiver(new AttemptHandler(pick, ctx, reservation)).send(request);
+        new ResponseReceiver(new AttemptHandler(pick, ctx, reservation), HttpVersion.HTTP_2)
+                .send(request);
     }
 
     private Request request(Endpoint e, RequestContext ctx, long left) {
--- a/node/src/main/java/io/azurestage/node/ResponseReceiver.java
+++ b/node/src/main/java/io/azurestage/node/ResponseReceiver.java
@@ -6,24 +6,29 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.Content;
 
 /** Buffers a response up to {@link #MAX_BUFFERED_BYTES} and streams longer responses. */
 final class ResponseReceiver
-        implements Response.AsyncContentListener, Response.CompleteListener, Request.BeginListener {
+        implements Response.HeadersListener,
+                Response.AsyncContentListener,
+                Response.CompleteListener,
+                Request.BeginListener {
     /** Size in bytes beyond which a response is streamed. */
     static final int MAX_BUFFERED_BYTES = 1 << 20;
 
     private final ResponseHandler mHandler;
+    private final HttpVersion mVersion;
     private final ByteArrayOutputStream mBuffer = new ByteArrayOutputStream();
     private volatile boolean mSent;
     private StreamSink mStream;
     private long mStreamedBytes = -1;
 
-    ResponseReceiver(ResponseHandler handler) {
+    /** Creates a receiver for a response on a connection of this version. */
+    ResponseReceiver(ResponseHandler handler, HttpVersion version) {
         mHandler = handler;
+        mVersion = version;
     }
 
     void send(Request request) {
@@ -36,6 +41,12 @@
         mSent = true;
     }
 
+    @Override
+    public void onHeaders(Response response) {
+        ResponseHead.fault(response, mVersion)
+                .ifPresent(reason -> response.abort(new IOException(reason)));
+    }
+
     @Override
     public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
         ByteBuffer part = chunk.getByteBuffer();
@@ -96,22 +107,8 @@
             mHandler.failed(result.getFailure(), mSent, mStreamedBytes);
         } else if (mStream != null) {
             mHandler.streamEnded(result.getResponse());
-        } else if (endsOnlyByClose(result.getResponse())) {
-            mHandler.failed(
-                    new IOException("the answer has neither a length nor chunks"), true, -1);
         } else {
             mHandler.received(result.getResponse(), mBuffer.toByteArray());
         }
     }
-
-    /**
-     * Reports whether the response is an HTTP/1 body that only the end of the connection delimits.
-     * Such a body cannot be distinguished from a truncated one.
-     */
-    private boolean endsOnlyByClose(Response r) {
-        return r.getVersion() != HttpVersion.HTTP_2
-                && mBuffer.size() > 0
-                && !r.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
-                && !r.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
-    }
 }
