Read on after an informational response in the client library

Callers saw (test, in the search for answers that are taken wrongly): a call of the client library to a node that sends 100, 102 or 103 before its answer never ended, not even at its deadline.

Cause: the transport removed all of Jetty's protocol handlers, so that 303 and 401 reach the caller. Those of informational responses went with them, and without them Jetty stops the timeout and waits. Ruled out: the node, which keeps these handlers; ResponseReceiverTest shows that they skip such responses and that others (104, 199) end the request at once.

Only the three handlers of final statuses are removed now.

--- a/client/src/main/java/io/azurestage/client/JettyTransport.java
+++ b/client/src/main/java/io/azurestage/client/JettyTransport.java
@@ -2,11 +2,15 @@
 
 import java.net.URI;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.ProxyAuthenticationProtocolHandler;
+import org.eclipse.jetty.client.RedirectProtocolHandler;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.WWWAuthenticationProtocolHandler;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -15,6 +19,13 @@
     private static final long CONNECT_TIMEOUT_MS = 500;
     private static final int MAX_QUEUED_PER_ENTRY = 100_000;
 
+    /** Handlers of final responses. Those of informational ones must stay, or such calls hang. */
+    private static final List<String> FINAL_STATUS_HANDLERS =
+            List.of(
+                    RedirectProtocolHandler.NAME,
+                    WWWAuthenticationProtocolHandler.NAME,
+                    ProxyAuthenticationProtocolHandler.NAME);
+
     private final HttpClient mHttp;
     private final int mMaxBuffered;
 
@@ -36,7 +47,7 @@
             throw new IllegalStateException("cannot start the HTTP client: " + e.getMessage(), e);
         }
         // Status codes such as 401 and 303 belong to the caller, not to Jetty's client.
-        mHttp.getProtocolHandlers().clear();
+        FINAL_STATUS_HANDLERS.forEach(mHttp.getProtocolHandlers()::remove);
         mHttp.getContentDecoderFactories().clear();
     }
 
--- a/client/src/test/java/io/azurestage/client/JettyTransportTest.java
+++ b/client/src/test/java/io/azurestage/client/JettyTransportTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -65,7 +66,12 @@
     }
 
     private CallResult get(BodySink sink) {
-        return mClient.call("s").deadline(Duration.ofSeconds(20)).sink(sink).send().join();
+        return mClient.call("s")
+                .deadline(Duration.ofSeconds(20))
+                .sink(sink)
+                .send()
+                .orTimeout(30, TimeUnit.SECONDS)
+                .join();
     }
 
     /** Guards against reporting a broken transfer as a complete response. */
@@ -88,6 +94,17 @@
         }
     }
 
+    @Nested
+    class InformationalResponse {
+        @ParameterizedTest
+        @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints"})
+        void isNotTheFinalOne(String status) {
+            mResponse =
+                    "HTTP/1.1 " + status + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            assertThat(((CallResult.Whole) get(null)).status()).isEqualTo(200);
+        }
+    }
+
     @Nested
     class LongBody {
         private static final String LONG =
--- a/node/src/test/java/io/azurestage/node/ResponseReceiverTest.java
+++ b/node/src/test/java/io/azurestage/node/ResponseReceiverTest.java
@@ -27,6 +27,8 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\n";
     private static final String BODY = "Content-Length: 4\r\n\r\nbody";
 
+    private static final int TIMEOUT_SECONDS = 3;
+
     /** Writes a response; the connection is closed after it. */
     @FunctionalInterface
     interface Script {
@@ -119,7 +121,7 @@
         new ResponseReceiver(recorder, HttpVersion.HTTP_1_1)
                 .send(
                         mClient.newRequest("http://127.0.0.1:" + mListener.getLocalPort())
-                                .timeout(60, TimeUnit.SECONDS));
+                                .timeout(TIMEOUT_SECONDS, TimeUnit.SECONDS));
         return recorder.mEnd.get(20, TimeUnit.SECONDS);
     }
 
@@ -168,6 +170,37 @@
         }
     }
 
+    @Nested
+    class InformationalResponse {
+        @ParameterizedTest
+        @ValueSource(ints = {100, 102, 103})
+        void isSkipped(int status) throws Exception {
+            assertThat(endOf("HTTP/1.1 " + status + " X\r\n\r\n" + HEAD + BODY))
+                    .isEqualTo("200 body");
+        }
+
+        /** Jetty would wait for more without a timeout. */
+        @ParameterizedTest
+        @ValueSource(ints = {104, 199})
+        void ofAnotherKindIsAFailure(int status) throws Exception {
+            assertThat(endOf("HTTP/1.1 " + status + " X\r\n\r\n" + HEAD + BODY))
+                    .isEqualTo("failed");
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {100, 104})
+        void doesNotStopTheTimeout(int status) throws Exception {
+            assertThat(
+                            endOf(
+                                    s -> {
+                                        s.getOutputStream()
+                                                .write(text("HTTP/1.1 " + status + " X\r\n\r\n"));
+                                        s.getInputStream().read();
+                                    }))
+                    .isEqualTo("failed");
+        }
+    }
+
     @Nested
     class WithoutALength {
         @ParameterizedTest
