Check what Jetty leaves open in the heads that the client library reads

Callers saw (tests): the client library reported the statuses 101 and 600 to 999, the version HTTP/2.0 on a connection of HTTP/1.1, and chunks in 'gzip, chunked' as a complete response.

Cause: Jetty's parser accepts these heads, and the reader checked only that the end of the body is marked, once the body had been received. Ruled out: other status lines and field lines outside the grammar, which Jetty rejects; their tests are guards.

ResponseReader now checks status, version, transfer coding and length when the head has been received, as ResponseHead does in the node; the library has no dependency on the other modules. ResponseHead joins the codings as it does.

--- a/client/src/main/java/io/azurestage/client/ResponseReader.java
+++ b/client/src/main/java/io/azurestage/client/ResponseReader.java
@@ -9,17 +9,25 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpVersion;
 
 /**
  * Collects a response and reports it as complete only if its framing marks its end and the end was
  * received.
  */
 final class ResponseReader implements Response.Listener {
+    private static final int MIN_FINAL_STATUS = 200;
+    private static final int MAX_STATUS = 599;
+
     private final String mMethod;
     private final int mMaxBuffered;
     private final BodySink mSink;
@@ -39,6 +47,11 @@
         mResult = result;
     }
 
+    @Override
+    public void onHeaders(Response response) {
+        fault(response).ifPresent(reason -> response.abort(new IOException(reason)));
+    }
+
     @Override
     public void onContent(Response response, ByteBuffer content) {
         try {
@@ -78,25 +91,38 @@
             return;
         }
         Response response = result.getResponse();
-        if (!hasMarkedEnd(response)) {
-            completeAsLost(
-                    "the response has no length, so its end cannot be told"
-                            + " from a broken connection");
-            return;
-        }
         mResult.complete(
                 new AttemptResult.Complete(
                         response.getStatus(), headers(response), mBuffer.toByteArray(), mStreamed));
     }
 
-    private boolean hasMarkedEnd(Response response) {
+    /** Returns what Jetty leaves open in a head and makes the response unusable. */
+    private Optional<String> fault(Response response) {
         int status = response.getStatus();
-        if (mMethod.equals("HEAD") || status == 204 || status == 304) {
-            return true;
+        if (status < MIN_FINAL_STATUS || status > MAX_STATUS) {
+            return Optional.of("the response has the status " + status);
+        }
+        if (response.getVersion() == HttpVersion.HTTP_2) {
+            return Optional.of("the response is not one of HTTP/1");
+        }
+        HttpFields fields = response.getHeaders();
+        if (fields.contains(HttpHeader.TRANSFER_ENCODING)) {
+            String coding = String.join(",", fields.getValuesList(HttpHeader.TRANSFER_ENCODING));
+            boolean chunked = HttpHeaderValue.CHUNKED.is(coding);
+            return chunked && response.getVersion() == HttpVersion.HTTP_1_1
+                    ? Optional.empty()
+                    : Optional.of("the response has the transfer coding " + coding);
         }
-        var fields = response.getHeaders();
-        return fields.contains(HttpHeader.CONTENT_LENGTH)
-                || fields.contains(HttpHeader.TRANSFER_ENCODING, "chunked");
+        boolean delimited =
+                fields.contains(HttpHeader.CONTENT_LENGTH)
+                        || mMethod.equals("HEAD")
+                        || status == HttpStatus.NO_CONTENT_204
+                        || status == HttpStatus.NOT_MODIFIED_304;
+        return delimited
+                ? Optional.empty()
+                : Optional.of(
+                        "the response has no length, so its end cannot be told"
+                                + " from a broken connection");
     }
 
     private void completeAsLost(String reason) {
--- a/client/src/test/java/io/azurestage/client/JettyTransportTest.java
+++ b/client/src/test/java/io/azurestage/client/JettyTransportTest.java
@@ -94,6 +94,51 @@
         }
     }
 
+    /** Guards against bytes that are no response of HTTP/1.1 and are reported as one. */
+    @Nested
+    class MalformedHead {
+        private static final String BODY = "Content-Length: 4\r\n\r\nbody";
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 000 OK",
+                    "HTTP/1.1 099 OK",
+                    "HTTP/1.1 600 OK",
+                    "HTTP/1.1 999 OK",
+                    "HTTP/1.1 101 Switching Protocols",
+                    "HTTP/2.0 200 OK",
+                    "HTTP/1.1 200 O\u0001K"
+                })
+        void statusLineIsNeverWhole(String line) {
+            mResponse = line + "\r\n" + BODY;
+            assertThat(get(null)).isInstanceOf(CallResult.Failed.class);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"A b: c", "A : b", " A: b", "A\u0001: b", "A: \u0000", ": b"})
+        void fieldIsNeverWhole(String line) {
+            mResponse = "HTTP/1.1 200 OK\r\n" + line + "\r\n" + BODY;
+            assertThat(get(null)).isInstanceOf(CallResult.Failed.class);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"gzip", "gzip, chunked", "xchunked"})
+        void transferCodingIsNeverWhole(String coding) {
+            mResponse =
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                            + coding
+                            + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+            assertThat(get(null)).isInstanceOf(CallResult.Failed.class);
+        }
+
+        @Test
+        void lengthOfAnotherFieldDoesNotEndTheBody() {
+            mResponse = "HTTP/1.1 200 OK\r\nContent-Length x: 3\r\n\r\nbody";
+            assertThat(get(null)).isInstanceOf(CallResult.Failed.class);
+        }
+    }
+
     @Nested
     class InformationalResponse {
         @ParameterizedTest
--- a/node/src/main/java/io/azurestage/node/ResponseHead.java
+++ b/node/src/main/java/io/azurestage/node/ResponseHead.java
@@ -1,9 +1,7 @@
 package io.azurestage.node;
 
-import java.util.List;
 import java.util.Optional;
 import org.eclipse.jetty.client.Response;
-import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
@@ -39,15 +37,12 @@
             return Optional.of("the answer's version is " + response.getVersion());
         }
         HttpFields fields = response.getHeaders();
-        List<String> codings =
-                fields.getFields(HttpHeader.TRANSFER_ENCODING).stream()
-                        .map(HttpField::getValue)
-                        .toList();
-        if (!codings.isEmpty()) {
-            boolean chunked = codings.size() == 1 && HttpHeaderValue.CHUNKED.is(codings.get(0));
+        if (fields.contains(HttpHeader.TRANSFER_ENCODING)) {
+            String coding = String.join(",", fields.getValuesList(HttpHeader.TRANSFER_ENCODING));
+            boolean chunked = HttpHeaderValue.CHUNKED.is(coding);
             return chunked && response.getVersion() == HttpVersion.HTTP_1_1
                     ? Optional.empty()
-                    : Optional.of("the answer's transfer coding is " + codings);
+                    : Optional.of("the answer has the transfer coding " + coding);
         }
         boolean delimited =
                 fields.contains(HttpHeader.CONTENT_LENGTH)
