--- a/store/src/test/java/io/azurestage/store/EtcdStoreResponseTest.java
+++ b/store/src/test/java/io/azurestage/store/EtcdStoreResponseTest.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -56,6 +58,46 @@
         assertThat(write(answer)).isInstanceOf(WriteResult.MaybeApplied.class);
     }
 
+    // Guards against a response that is no HTTP, or in a coding, and is reported as an outcome.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK\r\n",
+                "HTTP/1.1 0200 OK\r\n",
+                "HTTP/1.1 600 OK\r\n",
+                "HTTP/1.1 200 OK\r\nA b: c\r\n",
+                "HTTP/1.1 200 OK\r\nA\u0001: b\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+                "HTTP/1.1 101 Switching Protocols\r\n"
+            })
+    void malformedHeadMeansMaybeApplied(String head) throws IOException {
+        String body = "{\"header\":{\"revision\":\"7\"},\"succeeded\":true}";
+        byte[] answer =
+                (head + "Content-Length: " + body.length() + "\r\n\r\n" + body)
+                        .getBytes(StandardCharsets.ISO_8859_1);
+        try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Thread thread = new Thread(() -> answerOnce(server, answer), "store");
+            thread.setDaemon(true);
+            thread.start();
+            URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort());
+            try (PlatformStore store = EtcdStore.connect(List.of(uri), Duration.ofSeconds(20))) {
+                assertThat(store.compareAndSwap("k", 0, new byte[0], 0).join())
+                        .isInstanceOf(WriteResult.MaybeApplied.class);
+            }
+        }
+    }
+
+    private static void answerOnce(ServerSocket server, byte[] answer) {
+        try (Socket s = server.accept()) {
+            s.getInputStream().read();
+            s.getOutputStream().write(answer);
+            s.getInputStream().readAllBytes();
+        } catch (IOException e) {
+            // The store has closed the connection.
+            return;
+        }
+    }
+
     @Test
     void missingSucceededFieldMeansConflict() throws IOException {
         assertThat(write("{\"header\":{\"revision\":\"7\"}}"))
@@ -67,8 +109,7 @@
     // Guards against calls that never complete because the store was closed meanwhile.
     @Test
     void pendingCallsCompleteWhenTheStoreCloses() throws IOException {
-        try (java.net.ServerSocket silent =
-                new java.net.ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+        try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             URI uri = URI.create("http://127.0.0.1:" + silent.getLocalPort());
             PlatformStore store = EtcdStore.connect(List.of(uri), Duration.ofHours(1));
             CompletableFuture<WriteResult> write = store.compareAndSwap("k", 0, new byte[0], 0);
