Bound the heads of responses that the product's node reads

Callers saw (report of other operators; tests): a faulty server sent bytes without end in the head of its answer. The node kept them all until its request timed out, and with trailers even the timeout did not come; a node that runs out of memory ends the requests of all its callers.

Cause: Jetty's client has no limit for heads unless one is set. Ruled out: fields and informational responses, which ended before; bodies without end (bounded by the buffer and by the length or chunks that they need); and the line of a chunk, which Jetty reads without keeping it: with a heap of 64 MB the tests hold, and the timeout ends it.

Heads and trailers are now limited to 64 KiB, as in the node on a platform.

--- a/node/src/main/java/io/azurestage/node/HttpClients.java
+++ b/node/src/main/java/io/azurestage/node/HttpClients.java
@@ -15,6 +15,10 @@
     private static final int CONNECTIONS_PER_NODE = 4;
     private static final int MAX_QUEUED_PER_DESTINATION = 8192;
     private static final int MAX_THREADS = 24;
+
+    /** Largest head of a response; Jetty has no limit by default. */
+    private static final int MAX_HEAD_BYTES = 64 << 10;
+
     private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
 
     private HttpClients() {}
@@ -52,6 +56,7 @@
         c.setIdleTimeout(s.idleTimeoutMillis() + s.maxDeadlineMillis());
         c.setFollowRedirects(false);
         c.setUserAgentField(null);
+        c.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
         c.setHttpCookieStore(new HttpCookieStore.Empty());
         return c;
     }
--- a/node/src/test/java/io/azurestage/node/ResponseReceiverTest.java
+++ b/node/src/test/java/io/azurestage/node/ResponseReceiverTest.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Response;
@@ -221,4 +222,78 @@
                     .isEqualTo("failed");
         }
     }
+
+    /** Bytes without end, in a part of the response that no limit of the body covers. */
+    @Nested
+    class Endless {
+        private static final int MOST_BYTES = 64 << 20;
+
+        /** Writes the same bytes until the client closes; returns how many were written. */
+        private long writtenUntilClose(String prefix, String repeated) throws Exception {
+            byte[] more = text(repeated.repeat(1 + (16 << 10) / repeated.length()));
+            AtomicLong written = new AtomicLong();
+            String end =
+                    endOf(
+                            s -> {
+                                s.getOutputStream().write(text(prefix));
+                                while (true) {
+                                    s.getOutputStream().write(more);
+                                    written.addAndGet(more.length);
+                                }
+                            });
+            assertThat(end).isEqualTo("failed");
+            return written.get();
+        }
+
+        private void assertEnds(String prefix, String repeated) throws Exception {
+            assertThat(writtenUntilClose(prefix, repeated)).isLessThan(MOST_BYTES);
+        }
+
+        @Test
+        void reasonPhrase() throws Exception {
+            assertEnds("HTTP/1.1 200 ", "O");
+        }
+
+        @Test
+        void fieldName() throws Exception {
+            assertEnds(HEAD, "A");
+        }
+
+        @Test
+        void fieldValue() throws Exception {
+            assertEnds(HEAD + "A: ", "b");
+        }
+
+        @Test
+        void fields() throws Exception {
+            assertEnds(HEAD, "A: b\r\n");
+        }
+
+        @Test
+        void blankLinesBeforeAResponse() throws Exception {
+            assertEnds("", "\r\n");
+        }
+
+        @Test
+        void informationalResponses() throws Exception {
+            assertEnds("", "HTTP/1.1 100 Continue\r\n\r\n");
+        }
+
+        /** Jetty keeps none of these bytes, so only the timeout ends them. */
+        @ParameterizedTest
+        @ValueSource(strings = {"1;", ""})
+        void lineOfAChunkEndsAtTheTimeout(String prefix) throws Exception {
+            writtenUntilClose(HEAD + "Transfer-Encoding: chunked\r\n\r\n" + prefix, "0");
+        }
+
+        @Test
+        void trailers() throws Exception {
+            assertEnds(HEAD + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n");
+        }
+
+        @Test
+        void bodyWithoutLength() throws Exception {
+            assertEnds(HEAD + "\r\n", "never");
+        }
+    }
 }
