Bound the heads that the client library, the store's client and the CLI read

Callers saw (report of other operators; tests): bytes without end in the head or the trailers of an answer were kept until the deadline, here in the process of a caller, of a node that reads its store, and of the command-line tool.

Cause: as in the node, Jetty's client has no limit for heads unless one is set. Ruled out: bodies, which are bounded at each of these readers.

Heads and trailers are limited to 64 KiB. The largest field of a node's answer lists at most 48 levels, a few KiB.

--- a/cli/src/main/java/io/azurestage/cli/NodeClient.java
+++ b/cli/src/main/java/io/azurestage/cli/NodeClient.java
@@ -22,6 +22,9 @@
     /** Fits a status with over ten thousand members, or the full event buffer of a node. */
     private static final int MAX_RESPONSE_BYTES = 32 << 20;
 
+    /** Largest head of a response; Jetty has no limit by default. */
+    private static final int MAX_HEAD_BYTES = 64 << 10;
+
     private static final int THREADS = 8;
 
     private final HttpClient mClient = new HttpClient();
@@ -35,6 +38,7 @@
         mClient.setExecutor(threads);
         mClient.setScheduler(new ScheduledExecutorScheduler("azurestage-cli-timer", true));
         mClient.setConnectTimeout(timeout.toMillis());
+        mClient.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
         mClient.setFollowRedirects(false);
         try {
             mClient.start();
--- a/client/src/main/java/io/azurestage/client/JettyTransport.java
+++ b/client/src/main/java/io/azurestage/client/JettyTransport.java
@@ -19,6 +19,9 @@
     private static final long CONNECT_TIMEOUT_MS = 500;
     private static final int MAX_QUEUED_PER_ENTRY = 100_000;
 
+    /** Largest head of a response; Jetty has no limit by default. */
+    private static final int MAX_HEAD_BYTES = 64 << 10;
+
     /** Handlers of final responses. Those of informational ones must stay, or such calls hang. */
     private static final List<String> FINAL_STATUS_HANDLERS =
             List.of(
@@ -39,6 +42,7 @@
         mHttp.setFollowRedirects(false);
         mHttp.setHttpCookieStore(new HttpCookieStore.Empty());
         mHttp.setConnectTimeout(CONNECT_TIMEOUT_MS);
+        mHttp.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
         mHttp.setMaxConnectionsPerDestination(connectionsPerEntry);
         mHttp.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_ENTRY);
         try {
--- a/client/src/test/java/io/azurestage/client/JettyTransportTest.java
+++ b/client/src/test/java/io/azurestage/client/JettyTransportTest.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -21,9 +22,11 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class JettyTransportTest {
+    private final AtomicLong mWritten = new AtomicLong();
     private ServerSocket mServer;
     private AzurestageClient mClient;
     private volatile String mResponse;
+    private volatile String mEndless = "";
 
     @BeforeEach
     void start() throws IOException {
@@ -55,6 +58,10 @@
                     last = last << 8 | in.read();
                 }
                 socket.getOutputStream().write(mResponse.getBytes(StandardCharsets.US_ASCII));
+                while (!mEndless.isEmpty()) {
+                    socket.getOutputStream().write(mEndless.getBytes(StandardCharsets.US_ASCII));
+                    mWritten.addAndGet(mEndless.length());
+                }
                 socket.shutdownOutput();
                 while (in.read() >= 0) {
                     continue;
@@ -150,6 +157,27 @@
         }
     }
 
+    /** Guards against unbounded memory while a head or a trailer has no end. */
+    @Nested
+    class EndlessHead {
+        private static final int MOST_BYTES = 64 << 20;
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 200 ",
+                    "HTTP/1.1 200 OK\r\nA",
+                    "HTTP/1.1 200 OK\r\nA: b",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA"
+                })
+        void isNeverWhole(String start) {
+            mResponse = start;
+            mEndless = "b".repeat(16 << 10);
+            assertThat(get(bytes -> {})).isInstanceOf(CallResult.Failed.class);
+            assertThat(mWritten.get()).isLessThan(MOST_BYTES);
+        }
+    }
+
     @Nested
     class LongBody {
         private static final String LONG =
--- a/store/src/main/java/io/azurestage/store/EtcdHttp.java
+++ b/store/src/main/java/io/azurestage/store/EtcdHttp.java
@@ -28,6 +28,9 @@
     /** Room for a prefix read of about ten values of the maximum size in base64. */
     static final int MAX_RESPONSE_BYTES = 16 << 20;
 
+    /** Largest head of a response; Jetty has no limit by default. */
+    private static final int MAX_HEAD_BYTES = 64 << 10;
+
     private static final int MAX_THREADS = 8;
 
     /** Each open watch occupies a connection, and calls need free connections besides. */
@@ -56,6 +59,7 @@
         mClient.setScheduler(mScheduler);
         mClient.setConnectTimeout(timeout.toMillis());
         mClient.setIdleTimeout(IDLE_TIMEOUT.toMillis());
+        mClient.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
         mClient.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
         mClient.setFollowRedirects(false);
         try {
--- a/store/src/test/java/io/azurestage/store/EtcdStoreResponseTest.java
+++ b/store/src/test/java/io/azurestage/store/EtcdStoreResponseTest.java
@@ -13,11 +13,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class EtcdStoreResponseTest {
+    private final AtomicBoolean mWholeWritten = new AtomicBoolean();
 
     private static WriteResult write(String answer) throws IOException {
         HttpServer server =
@@ -75,22 +77,40 @@
         byte[] answer =
                 (head + "Content-Length: " + body.length() + "\r\n\r\n" + body)
                         .getBytes(StandardCharsets.ISO_8859_1);
+        assertThat(writeAnsweredWith(answer)).isInstanceOf(WriteResult.MaybeApplied.class);
+    }
+
+    // Guards against unbounded memory while a head or a trailer has no end.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 ",
+                "HTTP/1.1 200 OK\r\nA: b",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA"
+            })
+    void endlessHeadMeansMaybeApplied(String start) throws IOException {
+        byte[] answer = (start + "b".repeat(64 << 20)).getBytes(StandardCharsets.ISO_8859_1);
+        assertThat(writeAnsweredWith(answer)).isInstanceOf(WriteResult.MaybeApplied.class);
+        assertThat(mWholeWritten).isFalse();
+    }
+
+    private WriteResult writeAnsweredWith(byte[] answer) throws IOException {
         try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             Thread thread = new Thread(() -> answerOnce(server, answer), "store");
             thread.setDaemon(true);
             thread.start();
             URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort());
             try (PlatformStore store = EtcdStore.connect(List.of(uri), Duration.ofSeconds(20))) {
-                assertThat(store.compareAndSwap("k", 0, new byte[0], 0).join())
-                        .isInstanceOf(WriteResult.MaybeApplied.class);
+                return store.compareAndSwap("k", 0, new byte[0], 0).join();
             }
         }
     }
 
-    private static void answerOnce(ServerSocket server, byte[] answer) {
+    private void answerOnce(ServerSocket server, byte[] answer) {
         try (Socket s = server.accept()) {
             s.getInputStream().read();
             s.getOutputStream().write(answer);
+            mWholeWritten.set(true);
             s.getInputStream().readAllBytes();
         } catch (IOException e) {
             // The store has closed the connection.
