Refuse requests that are complete only after a stopping node closed its port

Callers saw (report of other operators; test): in a planned stop a request that came late in the grace was taken and passed on, and was cut without an answer when the node ended, also one that may not be repeated.

Cause: a stopping node closes its port and its idle connections at half of the grace, but a connection on which a part of a request had been received stayed open, and the request was handled when its body was complete, up to the end of the grace. Ruled out: requests on kept connections and pipelined ones, which are not read any more, and calls of other nodes, which are refused from the start of the stop.

From the close of the port on, EntryGate answers each request with 503 and Retry-After, which is true: nothing has passed it on. The refusal is counted and recorded like others (event 201, reason node-stopping).

--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -21,6 +21,7 @@
 import io.azurestage.core.time.PauseDetector;
 import io.azurestage.core.time.TimeSource;
 import io.azurestage.mesh.Address;
+import io.azurestage.relay.entry.EntryGate;
 import io.azurestage.relay.entry.EntryHandler;
 import io.azurestage.relay.entry.EntrySettings;
 import io.azurestage.relay.fleet.Announcer;
@@ -122,6 +123,7 @@
     private final BackendTracker mTracker;
     private final LocalBackend mLocalBackend;
     private final EntryHandler mEntryHandler;
+    private final EntryGate mEntryGate;
     private final FleetDirectory mDirectory;
     private final Announcer mAnnouncer;
     private final ConfigFeed mConfigFeed;
@@ -208,6 +210,7 @@
                         mLocalBackend::learnDownstreamCalls,
                         metrics,
                         mQuotas);
+        mEntryGate = new EntryGate(mEntryHandler, port.names().requestId(), metrics, events);
         mDirectory.onNodesChanged(mQuotas::setNodes);
         mLinkServer = new LinkServer(time, mPauses, self, mLocalBackend);
         mConfigKeyFeed =
@@ -284,7 +287,7 @@
         Relay relay = new Relay(settings, port, loop, events, metrics, time);
         relay.mListener =
                 HttpListener.open(
-                        group, settings.entryAddress(), () -> relay.mLimits, relay.mEntryHandler);
+                        group, settings.entryAddress(), () -> relay.mLimits, relay.mEntryGate);
         relay.mLinkServer.open(group, settings.linkAddress());
         relay.registerGauges();
         loop.execute(relay::startOnLoop);
@@ -435,7 +438,7 @@
     /**
      * Closes the port partway through the stop time, and reports when the node has stopped. Callers
      * should leave when readiness checks fail, but some stay until the port is closed. From then on
-     * no request is read, so callers can safely send it to another node.
+     * no request is passed on, so callers can safely send it to another node.
      */
     private void continueStop() {
         if (!mStopping) {
@@ -446,6 +449,7 @@
         if (!mListenerClosed && elapsedNanos >= (long) (stopNanos * CLOSE_FRACTION)) {
             mListenerClosed = true;
             mListener.close();
+            mEntryGate.close();
             return;
         }
         boolean idle = mEntryHandler.openRequests() == 0 && mLocalBackend.inProgress() == 0;
