Explain answers that were not passed on

'azurestage explain' found no cause for an answer that is not HTTP, is too long, or may belong to another request: their reasons match no pattern. Three patterns name them now. The sentence for node-stopping named the node of the backend server only; the entry of a stopping node refuses with that reason too.

--- a/cli/src/main/java/io/azurestage/cli/FailureExplanation.java
+++ b/cli/src/main/java/io/azurestage/cli/FailureExplanation.java
@@ -55,7 +55,7 @@
                     row(
                             "server-leaving",
                             "the backend server was about to leave and accepted no new work"),
-                    row("node-stopping", "the node of the backend server was shutting down"),
+                    row("node-stopping", "a node that it came to was shutting down"),
                     row(
                             "no-server-of-this-service",
                             "the node it was sent to has no backend server for this service"),
@@ -73,6 +73,18 @@
                     row(
                             "no signature",
                             "backend server {server} sent a response without a signature"),
+                    row(
+                            "not HTTP|not framed correctly",
+                            "the server sent an answer that is not HTTP, which was not passed on;"
+                                    + " it may have run"),
+                    row(
+                            "answer is larger|came before the answer|unfinished answers",
+                            "the server sent an answer that is too long, which was not passed on;"
+                                    + " it may have run"),
+                    row(
+                            "does not say to which request|answer to another request",
+                            "the server sent an answer that may belong to another request, which"
+                                    + " was not passed on; it may have run"),
                     row(
                             "connection|link",
                             "the connection failed after it was sent; it may have run"),
--- a/cli/src/test/java/io/azurestage/cli/ExplainTest.java
+++ b/cli/src/test/java/io/azurestage/cli/ExplainTest.java
@@ -171,6 +171,16 @@
             "maybe-run: no answer in PT1S",
             "maybe-run: the connection failed: reset",
             "maybe-run: the answer bears no signature of the server",
+            "maybe-run: the answer is not HTTP",
+            "maybe-run: the answer's body is not framed correctly",
+            "maybe-run: the answer is larger than 33554432 bytes",
+            "maybe-run: more than 1048576 bytes came before the answer",
+            "maybe-run: too many bytes of unfinished answers are held",
+            "maybe-run: an answer on a kept connection does not say to which request it belongs",
+            "maybe-run: the server closes after an answer to another request",
+            "maybe-run: the server closed the connection before its answer was complete",
+            "maybe-run: the connection broke before the answer was complete",
+            "maybe-run: the node passed on an answer that is not HTTP",
             "not-run: no connection to 10.0.0.1",
             "refused by the server"
         })
