Refuse requests whose body is complete after the drain of the product's node

Callers saw (test): a leaving node passed on a request whose body was complete only after the node had begun to refuse new ones. It waits for requests in progress for the longest deadline at most, so one that comes late in this time can be cut without an answer.

Cause: whether the node drains was checked when the head had been received, before the body was read. It is checked once more after the body. Ruled out: calls of other nodes, which the node beside the server refuses when it admits them.

LateBodyTest failed before ('b>c' from the servers in place of the refusal).

--- a/node/src/main/java/io/azurestage/node/EntryHandler.java
+++ b/node/src/main/java/io/azurestage/node/EntryHandler.java
@@ -34,7 +34,7 @@
     }
 
     void handle(RequestId id, Request request, Response response, Callback callback) {
-        Optional<Refusal> refusal = check(request);
+        Optional<Refusal> refusal = leaving().or(() -> check(request));
         int limit = mNode.settings().maxBodyBytes();
         if (refusal.isEmpty() && RequestBody.isTooLong(request, limit)) {
             refusal =
@@ -44,27 +44,28 @@
                                     "the body is longer than " + limit + " bytes"));
         }
         if (refusal.isPresent()) {
-            Replies.refuse(
-                    mNode, id, response, callback, withRepeatUncertainty(request, refusal.get()));
+            refuse(id, request, response, callback, refusal.get());
             return;
         }
         RequestBody.read(request, limit)
                 .whenComplete(
                         (body, failure) -> {
-                            if (failure == null) {
-                                admit(id, request, body, response, callback);
-                            } else {
-                                Replies.refuse(
-                                        mNode,
-                                        id,
-                                        response,
-                                        callback,
-                                        withRepeatUncertainty(
-                                                request, Replies.unreadableBody(failure, limit)));
-                            }
+                            // The drain may have begun while the body was received.
+                            Optional<Refusal> late =
+                                    failure == null
+                                            ? leaving()
+                                            : Optional.of(Replies.unreadableBody(failure, limit));
+                            late.ifPresentOrElse(
+                                    r -> refuse(id, request, response, callback, r),
+                                    () -> admit(id, request, body, response, callback));
                         });
     }
 
+    private void refuse(
+            RequestId id, Request request, Response response, Callback callback, Refusal refusal) {
+        Replies.refuse(mNode, id, response, callback, withRepeatUncertainty(request, refusal));
+    }
+
     /**
      * Adapts a refusal to a request that may be a repeat: if the request has a ticket, an earlier
      * attempt may have run, so the refusal reports the execution state as unknown.
@@ -75,10 +76,13 @@
                 : r;
     }
 
+    private Optional<Refusal> leaving() {
+        return mNode.lifecycle() == Lifecycle.DRAINING
+                ? Optional.of(Refusal.notRun(RefusalKind.DRAINING, "this node is leaving"))
+                : Optional.empty();
+    }
+
     private Optional<Refusal> check(Request request) {
-        if (mNode.lifecycle() == Lifecycle.DRAINING) {
-            return Optional.of(Refusal.notRun(RefusalKind.DRAINING, "this node is leaving"));
-        }
         MeshConfig config = mNode.config();
         HttpFields h = request.getHeaders();
         Optional<Refusal> identity = Authenticator.refusal(config, h);
