Say what a stopping node does in its explanation

The sentence for node-stopping holds at the entry and beside the server: the node was shutting down and accepted no new requests. ExplainTest holds, which checks that each reason has a sentence.

--- a/cli/src/main/java/io/azurestage/cli/FailureExplanation.java
+++ b/cli/src/main/java/io/azurestage/cli/FailureExplanation.java
@@ -55,7 +55,7 @@
                     row(
                             "server-leaving",
                             "the backend server was about to leave and accepted no new work"),
-                    row("node-stopping", "a node that it came to was shutting down"),
+                    row("node-stopping", "the node was shutting down and accepted no new requests"),
                     row(
                             "no-server-of-this-service",
                             "the node it was sent to has no backend server for this service"),
