--- a/review/harness-2/review2/Kv.java
+++ b/review/harness-2/review2/Kv.java
@@ -39,6 +39,17 @@
 
     private record Lease(long ttlMillis, long endsNanos) {}
 
+    /** A connection, which may go silent for good. */
+    private static final class Connection {
+        final Socket mSocket;
+        volatile long mLastByteNanos = System.nanoTime();
+        volatile boolean mSilent;
+
+        Connection(Socket socket) {
+            mSocket = socket;
+        }
+    }
+
     /** All that the store holds. */
     private static final class State {
         final TreeMap<String, Item> mItems = new TreeMap<>();
@@ -60,11 +71,10 @@
 
     private final ServerSocket mServer;
     private final Rec mRec;
-    private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private final Set<Connection> mConnections = ConcurrentHashMap.newKeySet();
     private State mState = new State();
     private State mCopy;
     private long mEra = 1;
-    private long mConnectionEra = 1;
     private boolean mAway;
     private boolean mClosed;
 
@@ -105,7 +115,7 @@
     /** The store is away: what is sent to it stays without an answer, on these connections for good. */
     synchronized void leave() {
         mAway = true;
-        mConnectionEra++;
+        silence(0);
         mRec.line("store: away at rev " + mState.mRev);
     }
 
@@ -117,12 +127,29 @@
         mState = s;
         mEra++;
         mAway = false;
-        mConnectionEra++;
+        silence(0);
         mRec.line("store: back from the copy at rev " + mState.mRev + ", Store-Era " + mEra);
         first.run();
         notifyAll();
     }
 
+    /**
+     * Lets the connections go silent for good on which nothing has been sent for some time, as a
+     * firewall does that forgets idle connections. Connections that are opened later work.
+     */
+    synchronized int silence(long idleMillis) {
+        long now = System.nanoTime();
+        int count = 0;
+        for (Connection c : mConnections) {
+            if (!c.mSilent && now - c.mLastByteNanos >= idleMillis * 1_000_000) {
+                c.mSilent = true;
+                count++;
+            }
+        }
+        notifyAll();
+        return count;
+    }
+
     private void put(String key, String value, long lease) {
         mState.mRev++;
         Item before = mState.mItems.get(key);
@@ -173,27 +200,24 @@
     private void acceptAll() {
         while (!mServer.isClosed()) {
             try {
-                Socket s = mServer.accept();
-                s.setTcpNoDelay(true);
-                mSockets.add(s);
-                long era;
-                synchronized (this) {
-                    era = mConnectionEra;
-                }
-                Threads.start("kv-connection", () -> serve(s, era));
+                Connection c = new Connection(mServer.accept());
+                c.mSocket.setTcpNoDelay(true);
+                mConnections.add(c);
+                Threads.start("kv-connection", () -> serve(c));
             } catch (IOException e) {
                 return;
             }
         }
     }
 
-    private void serve(Socket s, long era) {
-        try (s) {
+    private void serve(Connection c) {
+        try (Socket s = c.mSocket) {
             InputStream in = s.getInputStream();
             for (Http.Message m = Http.read(in); m != null; m = Http.read(in)) {
-                byte[] answer = answer(m, era);
+                c.mLastByteNanos = System.nanoTime();
+                byte[] answer = answer(m, c);
                 if (answer == null) {
-                    // Silent for good: nothing more is read or written until the peer closes.
+                    // Nothing more is written, and what comes is ignored until the peer closes.
                     while (in.read() >= 0) {
                         continue;
                     }
@@ -201,20 +225,21 @@
                 }
                 s.getOutputStream().write(answer);
                 s.getOutputStream().flush();
+                c.mLastByteNanos = System.nanoTime();
             }
         } catch (IOException e) {
-            mSockets.remove(s);
+            // The peer has closed the connection.
         } finally {
-            mSockets.remove(s);
+            mConnections.remove(c);
         }
     }
 
-    private synchronized boolean isSilent(long era) {
-        return mAway || era != mConnectionEra;
+    private boolean isSilent(Connection c) {
+        return mAway || c.mSilent;
     }
 
-    private synchronized byte[] answer(Http.Message m, long era) {
-        if (isSilent(era)) {
+    private synchronized byte[] answer(Http.Message m, Connection c) {
+        if (isSilent(c)) {
             return null;
         }
         String path = m.target().split("\\?")[0];
@@ -235,7 +260,7 @@
                     query.get("prefix"),
                     Long.parseLong(query.get("after")),
                     Long.parseLong(query.get("waitMs")),
-                    era);
+                    c);
         }
         if (path.equals("/-/kv-txn")) {
             return transact(body);
@@ -282,14 +307,14 @@
         return reply(200, s + "],\"hasMore\":false,\"atRev\":" + mState.mRev + "}");
     }
 
-    private byte[] watch(String prefix, long after, long waitMillis, long era) {
+    private byte[] watch(String prefix, long after, long waitMillis, Connection c) {
         long end = System.nanoTime() + waitMillis * 1_000_000;
         if (after > mState.mRev) {
             mRec.line("store: watch of " + prefix + " after " + after + " gets 410");
             return reply(410, "{}");
         }
         while (true) {
-            if (isSilent(era)) {
+            if (isSilent(c)) {
                 return null;
             }
             List<String> events =
@@ -381,8 +406,8 @@
     public synchronized void close() throws IOException {
         mClosed = true;
         mServer.close();
-        for (Socket s : mSockets) {
-            s.close();
+        for (Connection c : mConnections) {
+            c.mSocket.close();
         }
         notifyAll();
     }
