--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,8 +3,8 @@
 # TROUBLE=0 leaves out the disruption. Build first: the deploy file's build line, then review/build-2.sh.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-if [ ! -f target/review-2/review2/SlowReader.class ] || [ ! -f target/lib/azurestage-platform.jar ]; then
+if [ ! -f target/review-2/review2/EraDrain.class ] || [ ! -f target/lib/azurestage-platform.jar ]; then
     echo "build first: the build line of deploy/system.toml, then review/build-2.sh" >&2
     exit 2
 fi
-exec java -Xmx512m -Dreview.root=. -cp target/review-2 review2.SlowReader review/8/record.txt
+exec java -Xmx512m -Dreview.root=. -cp target/review-2 review2.EraDrain review/8/record.txt
--- a/review/harness-2/review2/App.java
+++ b/review/harness-2/review2/App.java
@@ -22,6 +22,7 @@
     private final long mBorn = System.currentTimeMillis();
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
     private InetSocketAddress mControl;
+    private volatile boolean mLeaving;
     private long mSequence;
 
     App(String ip, String id, String service, String zone, Rec rec) throws IOException {
@@ -48,31 +49,64 @@
     }
 
     private void beat() {
-        while (!mServer.isClosed()) {
-            String body =
-                    "{\"service\":\"" + mService + "\",\"address\":\"" + address()
-                            + "\",\"zone\":\"" + mZone + "\",\"version\":\"v1\",\"slots\":64,"
-                            + "\"state\":\"ready\",\"coldRemaining\":\"0ms\",\"sequence\":"
-                            + ++mSequence + ",\"born\":" + mBorn + "}";
-            boolean acknowledged = false;
-            try (Socket s = new Socket()) {
-                s.setSoTimeout(1_000);
-                s.connect(mControl, 1_000);
-                s.getOutputStream()
-                        .write(
-                                Http.format(
-                                        "POST /-/Instances.Heartbeat/" + mId + " HTTP/1.1",
-                                        body.getBytes(StandardCharsets.UTF_8),
-                                        "Host",
-                                        "control",
-                                        "Content-Type",
-                                        "application/json"));
-                Http.Message m = Http.read(s.getInputStream());
-                acknowledged = m != null && m.status() == 200;
-            } catch (IOException e) {
-                acknowledged = false;
-            }
-            Threads.sleep(acknowledged ? 1_500 : 300);
+        while (!mServer.isClosed() && !mLeaving) {
+            Threads.sleep(call("Heartbeat", heartbeat()) ? 1_500 : 300);
+        }
+    }
+
+    /** Returns the next heartbeat, to be sent now or late. */
+    synchronized String heartbeat() {
+        return "{\"service\":\"" + mService + "\",\"address\":\"" + address() + "\",\"zone\":\"" + mZone
+                + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"coldRemaining\":\"0ms\","
+                + "\"sequence\":" + ++mSequence + ",\"born\":" + mBorn + "}";
+    }
+
+    /** Sends a heartbeat that was made earlier. */
+    void beatLate(String heartbeat) {
+        mRec.line(
+                "server " + mId + ": late heartbeat " + heartbeat + ", acknowledged: "
+                        + call("Heartbeat", heartbeat));
+    }
+
+    /** A heartbeat that names a service which no configuration names comes to this server's node. */
+    void beatOfAnotherWriter() {
+        String heartbeat =
+                "{\"service\":\"nosuch\",\"address\":\"127.0.0.99:9\",\"zone\":\"" + mZone
+                        + "\",\"version\":\"v1\",\"slots\":5,\"state\":\"ready\",\"coldRemaining\":\"0ms\","
+                        + "\"sequence\":1,\"born\":" + System.currentTimeMillis() + "}";
+        String path = "/-/Instances.Heartbeat/i-other";
+        mRec.line("another writer: " + path + " " + heartbeat + ", answered 200: " + send(path, heartbeat));
+    }
+
+    /** Deregisters without a word before, and goes on serving. */
+    boolean deregister() {
+        mLeaving = true;
+        boolean acknowledged = call("Deregister", "{\"born\":" + mBorn + "}");
+        mRec.line("server " + mId + ": deregisters, acknowledged: " + acknowledged);
+        return acknowledged;
+    }
+
+    private boolean call(String name, String body) {
+        return send("/-/Instances." + name + "/" + mId, body);
+    }
+
+    private boolean send(String path, String body) {
+        try (Socket s = new Socket()) {
+            s.setSoTimeout(1_000);
+            s.connect(mControl, 1_000);
+            s.getOutputStream()
+                    .write(
+                            Http.format(
+                                    "POST " + path + " HTTP/1.1",
+                                    body.getBytes(StandardCharsets.UTF_8),
+                                    "Host",
+                                    "control",
+                                    "Content-Type",
+                                    "application/json"));
+            Http.Message m = Http.read(s.getInputStream());
+            return m != null && m.status() == 200;
+        } catch (IOException e) {
+            return false;
         }
     }
 
@@ -129,6 +163,8 @@
                 body,
                 "Azurestage-Attempt-Id",
                 id,
+                "Server-Name",
+                mId,
                 "Azurestage-Response-Signature",
                 mService + "." + id);
     }
