Read the era of the store, and use nothing of an earlier one

Cause: the store gives revisions out again. Ruled out: watches that are not renewed, and watches that are refused (the record shows watch calls after revision 16, answered without events).

--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -38,6 +38,7 @@
 import io.azurestage.relay.link.LinkStateListener;
 import io.azurestage.relay.owner.LocalBackend;
 import io.azurestage.relay.quota.QuotaExchange;
+import io.azurestage.store.StoreReset;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.net.InetSocketAddress;
@@ -144,6 +145,7 @@
     private boolean mListenerClosed;
     private Runnable mStoppedCallback;
     private long mStopStartedNanos;
+    private long mStoreEra;
 
     private Relay(
             RelaySettings settings,
@@ -157,6 +159,7 @@
         mLoop = loop;
         mTime = time;
         mEvents = events;
+        port.store().onReset(this::reportReset);
         mGuard =
                 ClientGuard.of(
                         settings.descriptors(),
@@ -335,10 +338,25 @@
                 "azurestage_config_version",
                 "configuration in force, 0 if none",
                 mConfigFeed::version);
+        mMetrics.gauge(
+                "azurestage_store_era",
+                "era of the store's data after its last return from a copy, 0 before one",
+                () -> mStoreEra);
         mMetrics.gauge(
                 "azurestage_ready", "1 if callers may send new work", () -> isReady() ? 1 : 0);
     }
 
+    private void reportReset(StoreReset r) {
+        mStoreEra = r.era();
+        mEvents.record(
+                EventType.STORE_RESET,
+                Map.of(
+                        "previousEra", Long.toString(r.previousEra()),
+                        "era", Long.toString(r.era()),
+                        "nodes", Integer.toString(mDirectory.nodes()),
+                        "configVersion", Long.toString(mConfigFeed.version())));
+    }
+
     private void startOnLoop() {
         mEvents.record(
                 EventType.NODE_STARTED,
--- a/relay/src/main/java/io/azurestage/relay/fleet/CallRecords.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/CallRecords.java
@@ -37,6 +37,9 @@
     private final EventLog mEvents;
     private final Set<String> mRecorded = new HashSet<>();
 
+    /** Reads that have not ended; operations are written only when it is known which are there. */
+    private int mReading;
+
     /**
      * Creates an accessor for the records.
      *
@@ -48,6 +51,13 @@
         mLoop = loop;
         mStore = store;
         mEvents = events;
+        store.onReset(r -> loop.execute(this::reload));
+    }
+
+    /** Reads what the store still holds; the next response of any other operation writes it. */
+    private void reload() {
+        mRecorded.clear();
+        load(operation -> {});
     }
 
     /**
@@ -56,6 +66,7 @@
      * @param reader receives the name of each operation
      */
     public void load(Consumer<String> reader) {
+        mReading++;
         load(reader, MAX_READ_ATTEMPTS);
     }
 
@@ -64,6 +75,7 @@
                 .thenAcceptAsync(
                         r -> {
                             if (r instanceof ReadResult.Found f) {
+                                mReading--;
                                 f.values().forEach(v -> loadRecord(v.key(), reader));
                             } else if (attemptsLeft > 1) {
                                 mLoop.schedule(
@@ -71,6 +83,7 @@
                                         RETRY_DELAY_MILLIS,
                                         TimeUnit.MILLISECONDS);
                             } else {
+                                mReading--;
                                 mEvents.record(
                                         EventType.STORE_DOWN,
                                         Map.of("prefix", PREFIX, "reason", "not read"));
@@ -91,7 +104,7 @@
      * @param operation name of an operation that backend servers call
      */
     public void write(String operation) {
-        if (!mRecorded.add(operation)) {
+        if (mReading > 0 || !mRecorded.add(operation)) {
             return;
         }
         byte[] value = operation.getBytes(StandardCharsets.UTF_8);
--- a/relay/src/main/java/io/azurestage/relay/fleet/PrefixFeed.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/PrefixFeed.java
@@ -15,7 +15,8 @@
 
 /**
  * Watches all keys with a prefix: lists them, subscribes to changes, and lists them again after the
- * watch has failed. Not thread-safe; use it on the event loop only.
+ * watch has failed or the store has come back from an older copy. Not thread-safe; use it on the
+ * event loop only.
  */
 public final class PrefixFeed {
     /** Receives the keys and their changes. */
@@ -56,6 +57,9 @@
     private boolean mClosed;
     private boolean mListed;
 
+    /** Counts the listings, so that only the result of the latest one is used. */
+    private long mListing;
+
     /**
      * Creates a feed that has not been started.
      *
@@ -76,12 +80,14 @@
         mPrefix = prefix;
         mListener = listener;
         mEvents = events;
+        store.onReset(r -> dispatch(this::onReset));
     }
 
     /** Lists the keys, then watches them. */
     public void start() {
         if (!mClosed) {
-            mStore.get(mPrefix, true).thenAcceptAsync(this::onListing, mLoop);
+            long listing = ++mListing;
+            mStore.get(mPrefix, true).thenAcceptAsync(r -> onListing(r, listing), mLoop);
         }
     }
 
@@ -100,8 +106,8 @@
         closeWatch();
     }
 
-    private void onListing(ReadResult result) {
-        if (mClosed) {
+    private void onListing(ReadResult result, long listing) {
+        if (mClosed || listing != mListing) {
             return;
         }
         if (result instanceof ReadResult.Found f) {
@@ -114,17 +120,21 @@
             }
             mListed = true;
             mBackoff.reset();
-            mWatch = mStore.watch(mPrefix, true, f.revision() + 1, e -> dispatch(e));
+            mWatch = mStore.watch(mPrefix, true, f.revision() + 1, this::dispatch);
         } else if (result instanceof ReadResult.Unavailable u) {
             onFailure(u.reason());
         }
     }
 
     private void dispatch(WatchEvent e) {
+        dispatch(() -> onEvent(e));
+    }
+
+    private void dispatch(Runnable task) {
         if (mLoop.inEventLoop()) {
-            onEvent(e);
+            task.run();
         } else {
-            mLoop.execute(() -> onEvent(e));
+            mLoop.execute(task);
         }
     }
 
@@ -160,12 +170,31 @@
     }
 
     private void onFailure(String reason) {
-        closeWatch();
         if (!mStoreDown) {
             mStoreDown = true;
             mEvents.record(EventType.STORE_DOWN, Map.of("prefix", mPrefix, "reason", reason));
         }
-        mLoop.schedule(this::start, mBackoff.nextDelayMillis(), TimeUnit.MILLISECONDS);
+        listLater();
+    }
+
+    /** A watch from a revision of the earlier data would miss the changes up to that revision. */
+    private void onReset() {
+        if (mListing > 0 && !mClosed) {
+            listLater();
+        }
+    }
+
+    private void listLater() {
+        closeWatch();
+        long listing = ++mListing;
+        mLoop.schedule(
+                () -> {
+                    if (listing == mListing) {
+                        start();
+                    }
+                },
+                mBackoff.nextDelayMillis(),
+                TimeUnit.MILLISECONDS);
     }
 
     private void closeWatch() {
--- a/relay/src/test/java/io/azurestage/relay/MapStore.java
+++ b/relay/src/test/java/io/azurestage/relay/MapStore.java
@@ -3,6 +3,7 @@
 import io.azurestage.store.LeaseResult;
 import io.azurestage.store.PlatformStore;
 import io.azurestage.store.ReadResult;
+import io.azurestage.store.StoreReset;
 import io.azurestage.store.Versioned;
 import io.azurestage.store.WatchEvent;
 import io.azurestage.store.WriteResult;
@@ -23,8 +24,13 @@
     private final TreeMap<String, Versioned> mValues = new TreeMap<>();
     private final Map<String, Long> mLeaseByKey = new HashMap<>();
     private final List<Watch> mWatches = new ArrayList<>();
+    private final List<Consumer<StoreReset>> mResetListeners = new ArrayList<>();
+    private final Map<String, Versioned> mCopy = new HashMap<>();
+    private long mCopiedRevision;
     private long mRevision = 1;
     private long mLastLease;
+    private long mLastLapsedLease;
+    private long mEra = 1;
     private boolean mDown;
 
     public synchronized void put(String key, byte[] value) {
@@ -52,6 +58,35 @@
         }
     }
 
+    /** Takes the copy that {@link #restoreCopy} brings back. */
+    public synchronized void takeCopy() {
+        mCopy.clear();
+        mCopy.putAll(mValues);
+        mCopiedRevision = mRevision;
+    }
+
+    /** Goes back to the copy: what was written since is lost, and its revisions are used again. */
+    public void restoreCopy() {
+        List<Consumer<StoreReset>> listeners;
+        StoreReset reset;
+        synchronized (this) {
+            mValues.clear();
+            mValues.putAll(mCopy);
+            mLeaseByKey.keySet().retainAll(mCopy.keySet());
+            mRevision = mCopiedRevision;
+            mLastLapsedLease = mLastLease;
+            mWatches.clear();
+            reset = new StoreReset(mEra, ++mEra);
+            listeners = List.copyOf(mResetListeners);
+        }
+        listeners.forEach(l -> l.accept(reset));
+    }
+
+    @Override
+    public synchronized void onReset(Consumer<StoreReset> listener) {
+        mResetListeners.add(listener);
+    }
+
     public synchronized boolean has(String key) {
         return mValues.containsKey(key);
     }
@@ -89,6 +124,9 @@
         if (mDown) {
             return CompletableFuture.completedFuture(new WriteResult.Unavailable("down"));
         }
+        if (lease != NO_LEASE && lease <= mLastLapsedLease) {
+            return CompletableFuture.completedFuture(new WriteResult.LeaseLapsed());
+        }
         Versioned old = mValues.get(key);
         if ((old == null ? ABSENT : old.revision()) != expectedRevision) {
             return CompletableFuture.completedFuture(new WriteResult.Conflict());
@@ -108,9 +146,12 @@
 
     @Override
     public synchronized CompletableFuture<LeaseResult> keepAlive(long lease) {
+        if (mDown) {
+            return CompletableFuture.completedFuture(new LeaseResult.Unavailable("down"));
+        }
         return CompletableFuture.completedFuture(
-                mDown
-                        ? new LeaseResult.Unavailable("down")
+                lease <= mLastLapsedLease
+                        ? new LeaseResult.Lapsed()
                         : new LeaseResult.Held(lease, Duration.ofSeconds(6)));
     }
 
--- a/relay/src/test/java/io/azurestage/relay/fleet/CallRecordsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/CallRecordsTest.java
@@ -65,6 +65,26 @@
         Loop.await("the record is read", () -> mLoaded.contains("status"));
     }
 
+    // Guards against records that are lost for good when the store comes back from an older copy.
+    @Test
+    void recordLostInAResetIsWrittenAgain() throws Exception {
+        CallRecords writer = newRecords();
+        mStore.takeCopy();
+        mLoop.run(() -> writer.write("status"));
+        Loop.await("the record", () -> mStore.has("azurestage/called/status"));
+        mStore.restoreCopy();
+        Loop.await(
+                "the record is written again",
+                () -> {
+                    try {
+                        mLoop.run(() -> writer.write("status"));
+                    } catch (Exception e) {
+                        throw new AssertionError(e);
+                    }
+                    return mStore.has("azurestage/called/status");
+                });
+    }
+
     @Test
     void operationTooLongForAKeyIsNotRecorded() throws Exception {
         CallRecords writer = newRecords();
