Refuse heartbeats for another service or from another VM

Cause: only the form of a heartbeat was checked. Any other id with a later start was taken for the successor of the current server. E511 names the server of the other writer, which rules out lost connections or an empty routing table as the cause.

Change: a heartbeat must state the service and the VM of this node's settings.

Tests that failed before: ServerReportsTest.OtherWriters, 2 of 2.

--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -170,6 +170,8 @@
         mTracker = tracker(settings, time);
         mReports =
                 new ServerReports(
+                        settings.service(),
+                        settings.linkAddress().getAddress().getHostAddress(),
                         mTracker,
                         new LeaveRecords(loop, time, port.store(), events),
                         this::serverChanged);
@@ -404,6 +406,8 @@
      * @param h the heartbeat
      * @param acknowledge acknowledges the heartbeat to the server. If the server is leaving, it
      *     runs once that is recorded or the store has not answered in time
+     * @throws IllegalArgumentException if it is not a heartbeat of the backend server on this VM;
+     *     the message names the field
      */
     public void onHeartbeat(Heartbeat h, Runnable acknowledge) {
         mReports.onHeartbeat(h, acknowledge);
--- a/relay/src/main/java/io/azurestage/relay/ServerReports.java
+++ b/relay/src/main/java/io/azurestage/relay/ServerReports.java
@@ -17,6 +17,8 @@
     /** A server sends about two in the time for which a starting node waits for the records. */
     private static final int MAX_EARLY_HEARTBEATS = 32;
 
+    private final String mService;
+    private final String mHost;
     private final BackendTracker mTracker;
     private final LeaveRecords mLeaveRecords;
     private final Runnable mOnServerChanged;
@@ -26,11 +28,20 @@
     /**
      * Creates an instance that has not read the records of servers that have left.
      *
+     * @param service service of the backend server on this VM
+     * @param host IP address of this VM
      * @param tracker tracks the state of the server
      * @param leaveRecords records of servers that leave
      * @param onServerChanged called when the server or its state has changed
      */
-    ServerReports(BackendTracker tracker, LeaveRecords leaveRecords, Runnable onServerChanged) {
+    ServerReports(
+            String service,
+            String host,
+            BackendTracker tracker,
+            LeaveRecords leaveRecords,
+            Runnable onServerChanged) {
+        mService = service;
+        mHost = host;
         mTracker = tracker;
         mLeaveRecords = leaveRecords;
         mOnServerChanged = onServerChanged;
@@ -62,6 +73,7 @@
 
     /** See {@link Relay#onHeartbeat}. */
     void onHeartbeat(Heartbeat h, Runnable acknowledge) {
+        checkOrigin(h);
         if (mLeavesLoaded) {
             track(h);
         } else {
@@ -74,6 +86,22 @@
         }
     }
 
+    /** Other writers may send heartbeats too, and only this VM's own server can be reached here. */
+    private void checkOrigin(Heartbeat h) {
+        if (!h.service().equals(mService)) {
+            throw new IllegalArgumentException(
+                    "heartbeat.service is "
+                            + h.service()
+                            + "; the backend server of this VM belongs to "
+                            + mService);
+        }
+        String host = h.address().substring(0, h.address().lastIndexOf(':'));
+        if (!host.equals(mHost)) {
+            throw new IllegalArgumentException(
+                    "heartbeat.address is on " + host + "; this VM is " + mHost);
+        }
+    }
+
     private void track(Heartbeat h) {
         if (mTracker.onHeartbeat(h)) {
             mOnServerChanged.run();
--- a/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
@@ -1,6 +1,7 @@
 package io.azurestage.relay;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.azurestage.core.backend.BackendState;
 import io.azurestage.core.backend.BackendTracker;
@@ -30,6 +31,8 @@
     private final AtomicInteger mChanges = new AtomicInteger();
     private final ServerReports mReports =
             new ServerReports(
+                    "books",
+                    "10.0.0.1",
                     mTracker,
                     new LeaveRecords(
                             mLoop.loop(),
@@ -82,6 +85,39 @@
     }
 
     /** Guards against records whose lease ends while their server still reports. */
+    /** Heartbeats that do not come from the server of this VM. */
+    @Nested
+    class OtherWriters {
+        private static final long NEWER = 9;
+
+        private void assertRefused(String service, String address, String field) throws Exception {
+            start();
+            heartbeat(1, false);
+            int changes = mChanges.get();
+            Heartbeat h = new Heartbeat("b", NEWER, service, address, 5, false, Duration.ZERO, 1);
+            mLoop.run(
+                    () ->
+                            assertThatThrownBy(() -> mReports.onHeartbeat(h, () -> {}))
+                                    .isInstanceOf(IllegalArgumentException.class)
+                                    .hasMessageContaining(field));
+            assertThat(mTracker.server().orElseThrow().serverId()).isEqualTo("a");
+            assertThat(acceptsRequests()).isTrue();
+            assertThat(mChanges).hasValue(changes);
+        }
+
+        // Guards against a server in use that one heartbeat for another service replaces for good.
+        @Test
+        void heartbeatForAnotherServiceNamesNoServer() throws Exception {
+            assertRefused("nosuch", "10.0.0.1:80", "heartbeat.service");
+        }
+
+        // Guards against requests that are sent to a server beside another node.
+        @Test
+        void heartbeatWithTheAddressOfAnotherVmNamesNoServer() throws Exception {
+            assertRefused("books", "10.0.0.2:80", "heartbeat.address");
+        }
+    }
+
     @Nested
     class Leases {
         private long mLease;
