Use an older server again after a newer one fell silent

A server in use was ignored for good once any heartbeat had named a newer server of its service, even if that one never reported again: the tracker compares start times only.

If the newer server falls silent without having left, the next heartbeat of another server takes its place, unless that one has announced that it leaves. Announcements are kept for each server now, not for the current one alone: BackendTrackerTest.CompletedDrain failed without that.

Test that failed before: BackendTrackerTest.ServersThatFallSilent .olderServerThatStillReportsIsUsedAgain.

--- a/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
@@ -9,8 +9,8 @@
 
 /**
  * Tracks the state of the backend server beside this node from its reports. Reports may arrive late
- * or out of order: an older incarnation never replaces a newer one, and an incarnation that has
- * announced that it leaves never becomes ready again. Not thread-safe.
+ * or out of order: an older incarnation does not replace a newer one that sends heartbeats, and an
+ * incarnation that has announced that it leaves never becomes ready again. Not thread-safe.
  */
 public final class BackendTracker {
     /**
@@ -22,19 +22,31 @@
     private final TimeSource mTime;
     private final Duration mDrainTime;
     private final Duration mHeartbeatTimeout;
-    private final Map<String, Long> mLeftIncarnations =
-            new LinkedHashMap<>() {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-                    return size() > MAX_LEFT_SERVERS;
-                }
-            };
+
+    /** Newest incarnation of each server that has deregistered. */
+    private final Map<String, Long> mLeftIncarnations = newIncarnations();
+
+    /** Newest incarnation of each server that has announced that it leaves. */
+    private final Map<String, Long> mDrainedIncarnations = newIncarnations();
+
     private BackendServer mServer;
     private long mSequence;
     private long mLastHeartbeatNanos;
     private long mDrainStartNanos;
     private boolean mDrainAnnounced;
 
+    /** Whether the server is gone because its heartbeats have stopped. */
+    private boolean mSilent;
+
+    private static Map<String, Long> newIncarnations() {
+        return new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+                return size() > MAX_LEFT_SERVERS;
+            }
+        };
+    }
+
     /**
      * Creates a tracker that knows no server.
      *
@@ -59,22 +71,36 @@
         if (hasLeft(h)) {
             return false;
         }
+        if (h.draining()) {
+            mDrainedIncarnations.merge(h.serverId(), h.startedAtMillis(), Math::max);
+        }
         if (mServer != null && mServer.isSameIncarnation(h.serverId(), h.startedAtMillis())) {
             return updateCurrent(h);
         }
-        if (mServer != null && h.startedAtMillis() < mServer.startedAtMillis()) {
+        if (mServer != null && h.startedAtMillis() < mServer.startedAtMillis() && !isReplaced(h)) {
             return false;
         }
-        mServer = server(h, h.draining() ? BackendState.DRAINING : BackendState.READY);
+        boolean draining = isIn(mDrainedIncarnations, h);
+        mServer = server(h, draining ? BackendState.DRAINING : BackendState.READY);
         mSequence = h.sequence();
+        mSilent = false;
         mLastHeartbeatNanos = mTime.nanos();
-        mDrainAnnounced = h.draining();
+        mDrainAnnounced = draining;
         // Another process may have acknowledged the report of a server that is first seen while
         // draining, so its drain time is assumed to have elapsed.
         mDrainStartNanos = mLastHeartbeatNanos - mDrainTime.toNanos();
         return true;
     }
 
+    /**
+     * Reports whether an older server is in use although a newer one had been reported: the newer
+     * one has fallen silent without leaving, as the one that a single heartbeat of another writer
+     * named does.
+     */
+    private boolean isReplaced(Heartbeat h) {
+        return mSilent && !isCurrent(h.serverId());
+    }
+
     /**
      * Reports whether the sender of a heartbeat is leaving or has left.
      *
@@ -82,20 +108,23 @@
      * @return whether it or an earlier report of its incarnation states that the server leaves
      */
     public boolean isLeaving(Heartbeat h) {
-        boolean current =
-                mServer != null && mServer.isSameIncarnation(h.serverId(), h.startedAtMillis());
-        return h.draining() || hasLeft(h) || current && mDrainAnnounced;
+        return h.draining() || hasLeft(h) || isIn(mDrainedIncarnations, h);
     }
 
     private boolean hasLeft(Heartbeat h) {
-        Long leftIncarnation = mLeftIncarnations.get(h.serverId());
-        return leftIncarnation != null && h.startedAtMillis() <= leftIncarnation;
+        return isIn(mLeftIncarnations, h);
+    }
+
+    private static boolean isIn(Map<String, Long> incarnations, Heartbeat h) {
+        Long newest = incarnations.get(h.serverId());
+        return newest != null && h.startedAtMillis() <= newest;
     }
 
     private boolean updateCurrent(Heartbeat h) {
         BackendServer before = mServer;
         if (h.sequence() > mSequence) {
             mSequence = h.sequence();
+            mSilent = false;
             mLastHeartbeatNanos = mTime.nanos();
             mServer = server(h, stateAfterHeartbeat());
         }
@@ -130,6 +159,7 @@
     /** A server that was considered gone stays so; its drain time is over. */
     private void startDrain() {
         mDrainAnnounced = true;
+        mDrainedIncarnations.merge(mServer.serverId(), mServer.startedAtMillis(), Math::max);
         if (mServer.state() == BackendState.READY) {
             mServer = mServer.withState(BackendState.DRAINING);
             mDrainStartNanos = mTime.nanos();
@@ -213,6 +243,7 @@
             return false;
         }
         mServer = mServer.withState(BackendState.GONE);
+        mSilent = !mDrainAnnounced;
         mDrainStartNanos = now - mDrainTime.toNanos();
         return true;
     }
--- a/core/src/test/java/io/azurestage/core/backend/BackendTrackerTest.java
+++ b/core/src/test/java/io/azurestage/core/backend/BackendTrackerTest.java
@@ -27,6 +27,59 @@
                 id, started, "books", "10.0.0.1:80", 15, draining, Duration.ZERO, sequence);
     }
 
+    /** A heartbeat of a newer server that does not exist. */
+    @Nested
+    class ServersThatFallSilent {
+        private void silenceOfTheNewer() {
+            mTracker.onHeartbeat(heartbeat("a", 5, 1, false));
+            mTracker.onHeartbeat(heartbeat("b", 9, 1, false));
+            mTime.advance(HEARTBEAT_TIMEOUT);
+            mTracker.checkHeartbeatTimeout();
+        }
+
+        // Guards against a server in use whose heartbeats are ignored for good, since one heartbeat
+        // has named a newer server.
+        @Test
+        void olderServerThatStillReportsIsUsedAgain() {
+            silenceOfTheNewer();
+            assertThat(mTracker.onHeartbeat(heartbeat("a", 5, 7, false))).isTrue();
+            assertThat(mTracker.server().orElseThrow().serverId()).isEqualTo("a");
+            assertThat(mTracker.acceptsRequests()).isTrue();
+        }
+
+        @Test
+        void newerServerStaysWhileItReports() {
+            silenceOfTheNewer();
+            mTracker.onHeartbeat(heartbeat("b", 9, 2, false));
+            assertThat(mTracker.onHeartbeat(heartbeat("a", 5, 7, false))).isFalse();
+            assertThat(mTracker.server().orElseThrow().serverId()).isEqualTo("b");
+        }
+
+        @Test
+        void earlierIncarnationOfTheSilentServerIsNotUsed() {
+            silenceOfTheNewer();
+            assertThat(mTracker.onHeartbeat(heartbeat("b", 7, 9, false))).isFalse();
+        }
+
+        @Test
+        void serverThatHasLeftIsNotUsedAgain() {
+            mTracker.onDeregistered("a", 5);
+            mTracker.onHeartbeat(heartbeat("b", 9, 1, false));
+            mTime.advance(HEARTBEAT_TIMEOUT);
+            mTracker.checkHeartbeatTimeout();
+            assertThat(mTracker.onHeartbeat(heartbeat("a", 5, 7, false))).isFalse();
+        }
+
+        // An older server may still send its last heartbeats after a newer one has left.
+        @Test
+        void olderServerDoesNotReplaceOneThatHasLeft() {
+            mTracker.onHeartbeat(heartbeat("b", 9, 1, true));
+            mTime.advance(HEARTBEAT_TIMEOUT);
+            mTracker.checkHeartbeatTimeout();
+            assertThat(mTracker.onHeartbeat(heartbeat("a", 5, 7, false))).isFalse();
+        }
+    }
+
     @Nested
     class Leaving {
         @Test
