Write the records of leaves again after a reset of the store

A record that a server leaves counted as stored once the store had acknowledged it.

Each node now writes the records of the last minute again at a reset, with a new lease and without a revision from before.

Tests that failed before: LeaveRecordsTest.Resets, 2 of 3; the third guards against writing records that nobody needs any more.

--- a/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecord.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecord.java
@@ -92,6 +92,26 @@
         }
     }
 
+    /** Writes the record again: the store has come back from a copy that may not have it. */
+    void rewrite() {
+        mStored = Long.MIN_VALUE;
+        mRevision = PlatformStore.ABSENT;
+        if (!mWriting && isNeeded()) {
+            mWriting = true;
+            grantLease();
+        }
+    }
+
+    /** Returns the newest incarnation that has been reported as leaving. */
+    long reported() {
+        return mReported;
+    }
+
+    /** Reports whether late heartbeats of the server may still arrive. */
+    boolean isNeeded() {
+        return mTime.nanos() - mReportedNanos < TTL.toNanos();
+    }
+
     private boolean isStored() {
         return mStored >= mReported && mTime.nanos() - mStoredNanos < RENEWAL_AGE_NANOS;
     }
@@ -178,7 +198,7 @@
     private void retryLater(String reason) {
         mEvents.record(EventType.LEAVE_NOT_RECORDED, Map.of("server", mServerId, "reason", reason));
         release();
-        if (mTime.nanos() - mReportedNanos >= TTL.toNanos()) {
+        if (!isNeeded()) {
             mWriting = false;
             return;
         }
--- a/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
@@ -1,5 +1,6 @@
 package io.azurestage.relay.fleet;
 
+import io.azurestage.core.backend.LeaveListener;
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
 import io.azurestage.core.time.TimeSource;
@@ -35,20 +36,6 @@
     /** Servers beside this node whose records it may have to renew. */
     private static final int MAX_SERVERS = 16;
 
-    /** Receives the records. */
-    @FunctionalInterface
-    public interface Reader {
-
-        /**
-         * Called for a server that has left or is leaving.
-         *
-         * @param serverId id of the server
-         * @param startedAtMillis start time of the server, which is its incarnation, in
-         *     milliseconds
-         */
-        void left(String serverId, long startedAtMillis);
-    }
-
     private final EventLoop mLoop;
     private final TimeSource mTime;
     private final PlatformStore mStore;
@@ -75,6 +62,21 @@
         mTime = time;
         mStore = store;
         mEvents = events;
+        store.onReset(r -> loop.execute(() -> mRecords.values().forEach(LeaveRecord::rewrite)));
+    }
+
+    /**
+     * Returns the servers that have been reported as leaving to this process, while their late
+     * reports may still arrive.
+     *
+     * @return start times of the newest incarnations in epoch milliseconds, by id
+     */
+    public Map<String, Long> recent() {
+        return mRecords.entrySet().stream()
+                .filter(e -> e.getValue().isNeeded())
+                .collect(
+                        Collectors.toUnmodifiableMap(
+                                Map.Entry::getKey, e -> e.getValue().reported()));
     }
 
     /**
@@ -83,7 +85,7 @@
      * @param reader receives each record; also later, if the store answers only after 2.5 s
      * @param done runs once, after all records are read or after 2.5 s
      */
-    public void load(Reader reader, Runnable done) {
+    public void load(LeaveListener reader, Runnable done) {
         RunOnce once = new RunOnce(done);
         mLoop.schedule(() -> stopWaiting(once), READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         load(reader, once);
@@ -97,7 +99,7 @@
         }
     }
 
-    private void load(Reader reader, RunOnce once) {
+    private void load(LeaveListener reader, RunOnce once) {
         mStore.get(PREFIX, true)
                 .thenAcceptAsync(
                         r -> {
@@ -115,7 +117,7 @@
                         mLoop);
     }
 
-    private void loadRecord(Versioned v, Reader reader) {
+    private void loadRecord(Versioned v, LeaveListener reader) {
         try {
             reader.left(v.key().substring(PREFIX.length()), LeaveRecord.decode(v.value()));
         } catch (IllegalArgumentException e) {
--- a/relay/src/test/java/io/azurestage/relay/fleet/LeaveRecordsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/LeaveRecordsTest.java
@@ -132,6 +132,41 @@
         }
     }
 
+    @Nested
+    class Resets {
+        // Guards against a record that is missing for good after the store came back from a copy
+        // without it: the restarted node used a server that had left.
+        @Test
+        void recordLostInAResetIsWrittenAgain() throws Exception {
+            mStore.takeCopy();
+            write(mRecords, 5);
+            mStore.restoreCopy();
+            assertThat(mStore.has(RECORD)).isFalse();
+            Loop.await("the record", () -> "5".equals(mStore.text(RECORD)));
+            assertThat(load()).containsEntry("a", 5L);
+        }
+
+        @Test
+        void recordOfAnEarlierIncarnationInTheCopyIsReplaced() throws Exception {
+            write(mRecords, 5);
+            mStore.takeCopy();
+            write(mRecords, 8);
+            mStore.restoreCopy();
+            Loop.await("the record", () -> "8".equals(mStore.text(RECORD)));
+        }
+
+        @Test
+        void recordThatNobodyNeedsIsNotWrittenAgain() throws Exception {
+            mStore.takeCopy();
+            write(mRecords, 5);
+            mTime.advance(Duration.ofSeconds(60));
+            mStore.restoreCopy();
+            mLoop.run(() -> {});
+            mLoop.run(() -> {});
+            assertThat(mStore.has(RECORD)).isFalse();
+        }
+    }
+
     @Nested
     class Failures {
         // Guards against a leave that was acknowledged during an outage and never recorded.
