Let other nodes remember which servers have left

Cause: one process and the store knew of the leave. The store lost the record, and the process was killed 0.3 s after the store's return, sooner than it can notice the return over connections that fell silent, so writing the record again is not enough.

Change: the entry of a node names the servers whose leaving it has acknowledged. Others remember them for that node, do not use them when its restarted process names them as ready, and tell it so over the link (E517).

Tests: with the memory taken out FleetDirectoryTest.RestartedOwners failed in 3 of 6.

--- a/core/src/main/java/io/azurestage/core/backend/BackendServer.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendServer.java
@@ -57,7 +57,13 @@
         }
     }
 
-    BackendServer withState(BackendState newState) {
+    /**
+     * Returns this incarnation in another state.
+     *
+     * @param newState the state
+     * @return a copy
+     */
+    public BackendServer withState(BackendState newState) {
         return new BackendServer(serverId, startedAtMillis, service, address, slots, newState);
     }
 
--- a/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
@@ -68,7 +68,7 @@
      * @return whether the server or its state has changed
      */
     public boolean onHeartbeat(Heartbeat h) {
-        if (hasLeft(h)) {
+        if (isIn(mLeftIncarnations, h.serverId(), h.startedAtMillis())) {
             return false;
         }
         if (h.draining()) {
@@ -80,7 +80,7 @@
         if (mServer != null && h.startedAtMillis() < mServer.startedAtMillis() && !isReplaced(h)) {
             return false;
         }
-        boolean draining = isIn(mDrainedIncarnations, h);
+        boolean draining = isIn(mDrainedIncarnations, h.serverId(), h.startedAtMillis());
         mServer = server(h, draining ? BackendState.DRAINING : BackendState.READY);
         mSequence = h.sequence();
         mSilent = false;
@@ -108,16 +108,25 @@
      * @return whether it or an earlier report of its incarnation states that the server leaves
      */
     public boolean isLeaving(Heartbeat h) {
-        return h.draining() || hasLeft(h) || isIn(mDrainedIncarnations, h);
+        return h.draining() || isLeaving(h.serverId(), h.startedAtMillis());
     }
 
-    private boolean hasLeft(Heartbeat h) {
-        return isIn(mLeftIncarnations, h);
+    /**
+     * Reports whether an incarnation of a server is leaving or has left.
+     *
+     * @param serverId id of the server
+     * @param startedAtMillis start time of the incarnation, epoch milliseconds
+     * @return whether a report or a record of it or of a later one states that the server leaves
+     */
+    public boolean isLeaving(String serverId, long startedAtMillis) {
+        return isIn(mLeftIncarnations, serverId, startedAtMillis)
+                || isIn(mDrainedIncarnations, serverId, startedAtMillis);
     }
 
-    private static boolean isIn(Map<String, Long> incarnations, Heartbeat h) {
-        Long newest = incarnations.get(h.serverId());
-        return newest != null && h.startedAtMillis() <= newest;
+    private static boolean isIn(
+            Map<String, Long> incarnations, String serverId, long startedAtMillis) {
+        Long newest = incarnations.get(serverId);
+        return newest != null && startedAtMillis <= newest;
     }
 
     private boolean updateCurrent(Heartbeat h) {
--- a/core/src/main/java/io/azurestage/core/event/EventType.java
+++ b/core/src/main/java/io/azurestage/core/event/EventType.java
@@ -62,6 +62,8 @@
     SERVER_LIMIT_CHANGED(514, Severity.INFO, "a backend server states another rate limit"),
     LEAVE_RECORDED(515, Severity.INFO, "the store holds that a backend server leaves"),
     LEAVES_LOADED(516, Severity.INFO, "the records of servers that have left were read"),
+    LEAVE_REMEMBERED(
+            517, Severity.WARNING, "a node uses a server whose leaving it had acknowledged"),
 
     CONFIG_ADOPTED(600, Severity.INFO, "a configuration version is in force"),
     CONFIG_REFUSED(601, Severity.ERROR, "a configuration was refused"),
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -134,6 +134,7 @@
     private final PrefixFeed mEntryKeyFeed;
     private final LinkServer mLinkServer;
     private final ServerReports mReports;
+    private final LeaveRecords mLeaveRecords;
     private final CallRecords mCallRecords;
     private final RelayMetrics mMetrics;
     private final QuotaExchange mQuotas;
@@ -168,12 +169,13 @@
                         Optional.of(events));
         mIdentity = new NodeIdentity(settings.nodeId(), time.now().toEpochMilli());
         mTracker = tracker(settings, time);
+        mLeaveRecords = new LeaveRecords(loop, time, port.store(), events);
         mReports =
                 new ServerReports(
                         settings.service(),
                         settings.linkAddress().getAddress().getHostAddress(),
                         mTracker,
-                        new LeaveRecords(loop, time, port.store(), events),
+                        mLeaveRecords,
                         this::serverChanged);
         SplittableRandom random = new SplittableRandom(mIdentity.incarnation());
         CallAttribution calls = new CallAttribution(time, random.split());
@@ -254,7 +256,8 @@
                 mConfigFeed::version,
                 mConfigFeed::document,
                 d -> mConfigFeed.offer(d, "node"),
-                mQuotas);
+                mQuotas,
+                mReports::onLeaveRemembered);
     }
 
     private LinkClient linkClient(String address, LinkSelf self) {
@@ -424,6 +427,7 @@
      */
     public void onDeregistered(String serverId, long startedAtMillis, Runnable acknowledge) {
         mReports.onDeregistered(serverId, startedAtMillis, acknowledge);
+        announce();
     }
 
     /**
@@ -550,7 +554,8 @@
                                 s.service(),
                                 s.address(),
                                 s.slots(),
-                                state)));
+                                state),
+                        mLeaveRecords.recent()));
     }
 
     private void assumeCalledByServers(String operation) {
--- a/relay/src/main/java/io/azurestage/relay/ServerReports.java
+++ b/relay/src/main/java/io/azurestage/relay/ServerReports.java
@@ -52,6 +52,18 @@
         mLeaveRecords.load(this::onLeaveRead, this::onLeavesLoaded);
     }
 
+    /**
+     * Handles the statement of another node that an earlier process of this one has acknowledged
+     * that a server leaves. The store may have lost the record.
+     */
+    void onLeaveRemembered(String serverId, long startedAtMillis) {
+        if (mTracker.isLeaving(serverId, startedAtMillis)) {
+            return;
+        }
+        onLeaveRead(serverId, startedAtMillis);
+        mLeaveRecords.write(serverId, startedAtMillis, () -> {});
+    }
+
     private void onLeaveRead(String serverId, long startedAtMillis) {
         if (mTracker.onLeaveRead(serverId, startedAtMillis)) {
             mOnServerChanged.run();
@@ -74,16 +86,17 @@
     /** See {@link Relay#onHeartbeat}. */
     void onHeartbeat(Heartbeat h, Runnable acknowledge) {
         checkOrigin(h);
-        if (mLeavesLoaded) {
-            track(h);
-        } else {
-            keep(h);
-        }
+        // The record comes first, since the entry of the changed server names it.
         if (mTracker.isLeaving(h)) {
             mLeaveRecords.write(h.serverId(), h.startedAtMillis(), acknowledge);
         } else {
             acknowledge.run();
         }
+        if (mLeavesLoaded) {
+            track(h);
+        } else {
+            keep(h);
+        }
     }
 
     /** Other writers may send heartbeats too, and only this VM's own server can be reached here. */
@@ -118,18 +131,18 @@
     /** Handles an answer in which the server states that it leaves. */
     void onLeavingStated() {
         if (mTracker.onLeavingStated()) {
-            mOnServerChanged.run();
             BackendServer s = mTracker.server().orElseThrow();
             mLeaveRecords.write(s.serverId(), s.startedAtMillis(), () -> {});
+            mOnServerChanged.run();
         }
     }
 
     /** See {@link Relay#onDeregistered}. */
     void onDeregistered(String serverId, long startedAtMillis, Runnable acknowledge) {
         long leaving = mTracker.leavingIncarnation(serverId, startedAtMillis);
+        mLeaveRecords.write(serverId, leaving, acknowledge);
         if (mTracker.onDeregistered(serverId, leaving)) {
             mOnServerChanged.run();
         }
-        mLeaveRecords.write(serverId, leaving, acknowledge);
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/fleet/EntryCodec.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/EntryCodec.java
@@ -10,6 +10,10 @@
 import io.azurestage.mesh.Address;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.TreeMap;
 
 /** Encodes and decodes the JSON form of server entries in the store. */
 final class EntryCodec {
@@ -31,6 +35,10 @@
         serverNode.put("address", entry.server().address());
         serverNode.put("slots", entry.server().slots());
         serverNode.put("state", entry.server().state().name());
+        if (!entry.left().isEmpty()) {
+            ObjectNode left = root.putObject("left");
+            new TreeMap<>(entry.left()).forEach(left::put);
+        }
         try {
             return MAPPER.writeValueAsBytes(root);
         } catch (IOException e) {
@@ -60,12 +68,24 @@
                     address(root, "link"),
                     text(root, "dataCentre"),
                     text(root, "region"),
-                    server);
+                    server,
+                    left(root.path("left")));
         } catch (IllegalArgumentException | ArithmeticException e) {
             throw new IOException(e.getMessage(), e);
         }
     }
 
+    private static Map<String, Long> left(JsonNode node) throws IOException {
+        Map<String, Long> left = new HashMap<>();
+        for (Iterator<String> ids = node.fieldNames(); ids.hasNext(); ) {
+            String id = ids.next();
+            long startedAtMillis = integer(node, id);
+            BackendServer.checkStart(startedAtMillis);
+            left.put(id, startedAtMillis);
+        }
+        return left;
+    }
+
     private static long integer(JsonNode node, String field) throws IOException {
         JsonNode value = node.path(field);
         if (!value.isIntegralNumber() || !value.canConvertToLong()) {
--- a/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
@@ -1,5 +1,6 @@
 package io.azurestage.relay.fleet;
 
+import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.backend.BackendState;
 import io.azurestage.core.backend.ServerEntry;
 import io.azurestage.core.backend.ServerEntryTable;
@@ -19,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -31,6 +33,9 @@
     /** Constant, because the id of an endpoint already contains the incarnations. */
     private static final long FIXED_INCARNATION = 0;
 
+    /** How often a node is told that its server has left, until its entry says so. */
+    private static final int TICKS_PER_REMINDER = 3;
+
     private final ServerEntryTable mTable;
     private final Router mRouter;
     private final Function<String, LinkClient> mLinkFactory;
@@ -40,9 +45,15 @@
     private final Runnable mOnOwnEntryMissing;
     private final EventLog mEvents;
     private final Map<String, LinkClient> mLinks = new HashMap<>();
+    private final RememberedLeaves mLeaves = new RememberedLeaves();
+
+    /** Servers that have left and are named as ready, by the link address of their node. */
+    private final Map<String, BackendServer> mWronglyUsed = new HashMap<>();
+
     private Map<String, Integer> mNodesByService = Map.of();
     private Consumer<Set<String>> mNodesListener = nodes -> {};
     private boolean mStale;
+    private long mTicks;
 
     /**
      * Creates an empty directory.
@@ -146,6 +157,11 @@
             mStale = true;
         }
         rebuildIfStale();
+        if (++mTicks % TICKS_PER_REMINDER == 0) {
+            mWronglyUsed.forEach(
+                    (address, s) ->
+                            link(address).sendServerLeft(s.serverId(), s.startedAtMillis()));
+        }
         // A call that fails here may be retried on another node, which may add a link to the map.
         List.copyOf(mLinks.values()).forEach(LinkClient::tick);
     }
@@ -179,7 +195,7 @@
 
     private void putEntry(Versioned v) {
         try {
-            mTable.put(v.key(), EntryCodec.decode(v.value()));
+            putEntry(v.key(), EntryCodec.decode(v.value()));
         } catch (IOException e) {
             mEvents.record(
                     EventType.ENTRY_UNREADABLE,
@@ -188,6 +204,24 @@
         }
     }
 
+    private void putEntry(String key, ServerEntry entry) {
+        mLeaves.add(key, entry);
+        OptionalLong left = mLeaves.contradicted(key, entry.server());
+        if (left.isEmpty()) {
+            mWronglyUsed.remove(entry.linkAddress());
+            mTable.put(key, entry);
+            return;
+        }
+        mEvents.record(
+                EventType.LEAVE_REMEMBERED,
+                Map.of(
+                        "node", entry.node().nodeId(),
+                        "server", entry.server().serverId(),
+                        "startedAtMillis", Long.toString(left.getAsLong())));
+        mWronglyUsed.put(entry.linkAddress(), entry.server());
+        mTable.put(key, entry.withServerState(BackendState.GONE));
+    }
+
     /** Changes often arrive in batches; rebuilding on demand processes only the final state. */
     private void rebuildIfStale() {
         if (mStale) {
@@ -215,6 +249,7 @@
             }
         }
         mNodesListener.accept(staying);
+        mWronglyUsed.keySet().retainAll(addresses);
         mLinks.entrySet()
                 .removeIf(
                         e -> {
--- a/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
@@ -15,6 +15,7 @@
 import io.azurestage.wire.generated.link.CallQuery;
 import io.azurestage.wire.generated.link.Hello;
 import io.azurestage.wire.generated.link.LinkMessage;
+import io.azurestage.wire.generated.link.ServerLeft;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -153,6 +154,26 @@
         }
     }
 
+    /**
+     * Tells the peer that an earlier process of it has acknowledged that a server leaves. Without a
+     * connection one is opened, and the caller is to repeat this.
+     *
+     * @param serverId id of the server
+     * @param startedAtMillis start time of its incarnation, epoch milliseconds
+     */
+    public void sendServerLeft(String serverId, long startedAtMillis) {
+        if (!isUp()) {
+            connect();
+            return;
+        }
+        ServerLeft left =
+                ServerLeft.newBuilder()
+                        .setServerId(serverId)
+                        .setStartedAtMillis(startedAtMillis)
+                        .build();
+        write(LinkMessage.newBuilder().setServerLeft(left).build());
+    }
+
     /** Opens a connection unless there is one. */
     public void connect() {
         if (mClosed || mConnecting || mChannel != null) {
--- a/relay/src/main/java/io/azurestage/relay/link/LinkSelf.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkSelf.java
@@ -1,5 +1,6 @@
 package io.azurestage.relay.link;
 
+import io.azurestage.core.backend.LeaveListener;
 import io.azurestage.core.context.NodeIdentity;
 import io.azurestage.wire.generated.link.Hello;
 import io.azurestage.wire.generated.link.LinkMessage;
@@ -17,6 +18,7 @@
  * @param document document of the active configuration, sent to peers with an older version
  * @param documentSink receives documents of peers
  * @param quotas handles the quota messages of peers
+ * @param leaves receives the servers whose leaving peers remember for this node
  */
 public record LinkSelf(
         NodeIdentity identity,
@@ -24,7 +26,8 @@
         LongSupplier configVersion,
         Supplier<Optional<byte[]>> document,
         DocumentSink documentSink,
-        QuotaPeer quotas) {
+        QuotaPeer quotas,
+        LeaveListener leaves) {
 
     /** Receives the configuration document of a peer. */
     @FunctionalInterface
--- a/relay/src/main/java/io/azurestage/relay/link/LinkServer.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkServer.java
@@ -1,5 +1,6 @@
 package io.azurestage.relay.link;
 
+import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.context.NodeIdentity;
 import io.azurestage.core.memory.MemoryAccount;
 import io.azurestage.core.quota.QuotaGrant;
@@ -157,6 +158,10 @@
                 if (!grants.isEmpty()) {
                     ctx.writeAndFlush(QuotaMessages.ofGrants(grants));
                 }
+            } else if (m.hasServerLeft() && mPeerId != null) {
+                long startedAtMillis = m.getServerLeft().getStartedAtMillis();
+                BackendServer.checkStart(startedAtMillis);
+                mSelf.leaves().left(m.getServerLeft().getServerId(), startedAtMillis);
             } else if (mCalls != null) {
                 mCalls.accept(ctx.channel(), m);
             } else {
--- a/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
@@ -85,6 +85,37 @@
     }
 
     /** Guards against records whose lease ends while their server still reports. */
+    /** Leaves that other nodes remember from an earlier process of this node. */
+    @Nested
+    class RememberedLeaves {
+        private void remind() throws Exception {
+            mLoop.run(() -> mReports.onLeaveRemembered("a", 5));
+        }
+
+        // Guards against a late heartbeat that makes a restarted node use a server that has left,
+        // when the store has lost the record of that.
+        @Test
+        void serverIsNotUsedAndTheRecordIsWrittenAgain() throws Exception {
+            start();
+            heartbeat(1, false);
+            assertThat(acceptsRequests()).isTrue();
+            remind();
+            assertThat(acceptsRequests()).isFalse();
+            heartbeat(2, false);
+            assertThat(acceptsRequests()).isFalse();
+            Loop.await("the record", () -> mStore.has(RECORD));
+        }
+
+        @Test
+        void drainThatThisProcessHasAcknowledgedIsNotCutShort() throws Exception {
+            start();
+            heartbeat(1, false);
+            heartbeat(2, true);
+            remind();
+            assertThat(acceptsRequests()).isTrue();
+        }
+    }
+
     /** Heartbeats that do not come from the server of this VM. */
     @Nested
     class OtherWriters {
--- a/relay/src/test/java/io/azurestage/relay/fleet/EntryCodecTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/EntryCodecTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,7 +23,8 @@
                     "10.0.0.1:7000",
                     "dc",
                     "r",
-                    new BackendServer("s", 3, "books", "10.0.0.1:80", 15, BackendState.DRAINING));
+                    new BackendServer("s", 3, "books", "10.0.0.1:80", 15, BackendState.DRAINING),
+                    Map.of("s", 3L, "t", 2L));
 
     @Test
     void decodedEntryEqualsTheEncodedOne() throws IOException {
--- a/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
@@ -24,6 +24,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -65,7 +66,8 @@
                         () -> 0,
                         Optional::empty,
                         d -> {},
-                        QuotaPeer.NONE);
+                        QuotaPeer.NONE,
+                        (server, started) -> {});
         return new LinkClient(
                 mLoop.loop(),
                 mTime,
@@ -235,6 +237,79 @@
         }
     }
 
+    /** Entries that name a server as ready after another process of their node saw it leave. */
+    @Nested
+    class RestartedOwners {
+        private static final String LINK = "10.0.0.2:7000";
+
+        private Versioned entry(long nodeStarted, BackendState state, Map<String, Long> left) {
+            BackendServer server =
+                    new BackendServer("s", 5, "books", "10.0.0.2:80", 15, BackendState.READY);
+            ServerEntry e =
+                    new ServerEntry(
+                            new NodeIdentity("o", nodeStarted),
+                            LINK,
+                            "dc",
+                            "r",
+                            server.withState(state),
+                            left);
+            return new Versioned("nodes/o", EntryCodec.encode(e), 1);
+        }
+
+        private void assertNotUsed() {
+            mDirectory.listed(List.of(entry(2, BackendState.READY, Map.of())));
+            assertThat(isRoutable()).isFalse();
+        }
+
+        // Guards against requests for a server whose leaving was acknowledged, after the store has
+        // lost the record and its node has restarted.
+        @Test
+        void serverThatHasDeregisteredIsNotUsed() {
+            mDirectory.put(entry(1, BackendState.READY, Map.of()));
+            assertThat(isRoutable()).isTrue();
+            mDirectory.put(entry(1, BackendState.GONE, Map.of("s", 5L)));
+            assertNotUsed();
+        }
+
+        @Test
+        void serverThatDrainedIsNotUsed() {
+            mDirectory.put(entry(1, BackendState.DRAINING, Map.of()));
+            assertNotUsed();
+        }
+
+        @Test
+        void entryThatWasRemovedIsRemembered() {
+            mDirectory.put(entry(1, BackendState.GONE, Map.of("s", 5L)));
+            mDirectory.removed("nodes/o");
+            mDirectory.tick();
+            assertNotUsed();
+        }
+
+        @Test
+        void laterIncarnationIsUsed() {
+            mDirectory.put(entry(1, BackendState.GONE, Map.of("s", 4L)));
+            mDirectory.put(entry(2, BackendState.READY, Map.of()));
+            assertThat(isRoutable()).isTrue();
+        }
+
+        // A server that was only silent may be in use again.
+        @Test
+        void serverThatWasGoneWithoutLeavingIsUsed() {
+            mDirectory.put(entry(1, BackendState.GONE, Map.of()));
+            mDirectory.put(entry(2, BackendState.READY, Map.of()));
+            assertThat(isRoutable()).isTrue();
+        }
+
+        @Test
+        void whatAnEntryNamesCountsForItsOwnNodeOnly() {
+            mDirectory.put(
+                    new Versioned(
+                            "nodes/x", entry(1, BackendState.GONE, Map.of("s", 9L)).value(), 1));
+            mDirectory.put(entry(2, BackendState.READY, Map.of()));
+            assertThat(isRoutable()).isTrue();
+        }
+    }
+
     @Nested
     class Changes {
         @Test
--- a/relay/src/test/java/io/azurestage/relay/link/DepartedCallersTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/DepartedCallersTest.java
@@ -73,7 +73,8 @@
                 () -> 0,
                 Optional::empty,
                 d -> {},
-                QuotaPeer.NONE);
+                QuotaPeer.NONE,
+                (server, started) -> {});
     }
 
     private CallHandle run(CallSpec spec, CallListener listener) {
--- a/relay/src/test/java/io/azurestage/relay/link/EarlierBuildTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/EarlierBuildTest.java
@@ -232,7 +232,8 @@
                         () -> 0,
                         Optional::empty,
                         d -> {},
-                        QuotaPeer.NONE);
+                        QuotaPeer.NONE,
+                        (server, started) -> {});
         ConfigExchange exchange = new ConfigExchange(self, m -> {});
         assertThat(exchange.accept(later)).isFalse();
         List<String> cancelled = new ArrayList<>();
--- a/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
@@ -21,8 +21,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -39,6 +41,7 @@
     private final AtomicInteger mCancelledCalls = new AtomicInteger();
     private final AtomicLong mClientConfigVersion = new AtomicLong();
     private final CompletableFuture<byte[]> mFetchedDocument = new CompletableFuture<>();
+    private final Map<String, Long> mRememberedLeaves = new ConcurrentHashMap<>();
     private LinkServer mServer;
     private boolean mHoldCalls;
 
@@ -51,7 +54,8 @@
                         () -> 7,
                         () -> Optional.of("document".getBytes(StandardCharsets.UTF_8)),
                         d -> {},
-                        QuotaPeer.NONE);
+                        QuotaPeer.NONE,
+                        mRememberedLeaves::put);
         TimeSource time = TimeSource.system();
         mServer = new LinkServer(time, new PauseDetector(time), self, this::run);
         mServer.open(mLoop.group(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -83,7 +87,8 @@
                         mClientConfigVersion::get,
                         Optional::empty,
                         mFetchedDocument::complete,
-                        QuotaPeer.NONE);
+                        QuotaPeer.NONE,
+                        (server, started) -> {});
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         return new LinkClient(
                 mLoop.loop(), TimeSource.system(), address, self, (a, up, reason) -> {});
@@ -119,6 +124,15 @@
         assertThat(((CallResult.Answered) r).body().toByteArray()).isEqualTo(body);
     }
 
+    @Test
+    void rememberedLeaveReachesThePeerOnceTheLinkIsUp() throws Exception {
+        LinkClient client = client(mServer.port());
+        mLoop.run(() -> client.sendServerLeft("s", 5));
+        Loop.await("the link is up", client::isUp);
+        mLoop.run(() -> client.sendServerLeft("s", 5));
+        Loop.await("the peer knows", () -> mRememberedLeaves.equals(Map.of("s", 5L)));
+    }
+
     /** A link is closed when the node's entry lapses, and reopened when the entry returns. */
     @Test
     void callsOnAReopenedLinkAreAnswered() throws Exception {
--- a/relay/src/test/java/io/azurestage/relay/link/OddAnswersTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/OddAnswersTest.java
@@ -45,7 +45,8 @@
                 () -> 0,
                 Optional::empty,
                 d -> {},
-                QuotaPeer.NONE);
+                QuotaPeer.NONE,
+                (server, started) -> {});
     }
 
     /** Returns the result of a call that the other node answers in this way. */
--- a/relay/src/test/java/io/azurestage/relay/link/OddFramesTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/OddFramesTest.java
@@ -70,7 +70,8 @@
                 () -> 0,
                 Optional::empty,
                 d -> {},
-                QuotaPeer.NONE);
+                QuotaPeer.NONE,
+                (server, started) -> {});
     }
 
     private static byte[] frame(byte[] content) throws IOException {
