Leave idle connections that fell silent together after one timeout

Connections may fall silent while they are idle, all at once, as behind a firewall that forgets them. A pool found that out one by one: each of them took a request and a timeout. Against the store that is 1.5 s for each, and against a backend server a request lost for each.

A kept connection that has not answered in time now closes the idle ones that have not been used since: those that have answered after it are kept.

--- a/relay/src/main/java/io/azurestage/relay/http/HttpPool.java
+++ b/relay/src/main/java/io/azurestage/relay/http/HttpPool.java
@@ -126,7 +126,8 @@
     }
 
     private void connect(OutboundCall call) {
-        OutboundConnection connection = new OutboundConnection(this::onIdle, mBufferBudget);
+        OutboundConnection connection =
+                new OutboundConnection(this::onIdle, this::onSilent, mBufferBudget);
         Bootstrap bootstrap =
                 mBootstrap
                         .clone()
@@ -167,6 +168,21 @@
         }
     }
 
+    /**
+     * Closes the idle connections that have not been used for longer than one that did not answer:
+     * what silenced it, such as a firewall that forgets idle connections, may have silenced them.
+     */
+    private void onSilent(OutboundConnection silent) {
+        mIdle.removeIf(
+                c -> {
+                    boolean suspect = c.idleSinceNanos() - silent.idleSinceNanos() <= 0;
+                    if (suspect) {
+                        c.close();
+                    }
+                    return suspect;
+                });
+    }
+
     /** Uses one timer for all connections, since a timer per use would wake the loop each time. */
     private void closeExpired() {
         long now = mTime.nanos();
--- a/relay/src/main/java/io/azurestage/relay/http/OutboundCall.java
+++ b/relay/src/main/java/io/azurestage/relay/http/OutboundCall.java
@@ -13,6 +13,7 @@
     private final Consumer<OutboundResult> mResultConsumer;
     private ScheduledFuture<?> mTimer;
     private Channel mChannel;
+    private Runnable mSilenceAction = () -> {};
     private boolean mSent;
     private boolean mDone;
 
@@ -44,8 +45,15 @@
         mChannel = channel;
     }
 
-    void sentOn(Channel channel) {
+    /**
+     * Notes that the request is being sent.
+     *
+     * @param channel the connection
+     * @param onSilence runs if the timeout ends before the answer
+     */
+    void sentOn(Channel channel, Runnable onSilence) {
         mChannel = channel;
+        mSilenceAction = onSilence;
         mSent = true;
     }
 
@@ -74,6 +82,7 @@
             return;
         }
         closeChannel();
+        mSilenceAction.run();
         mResultConsumer.accept(
                 mSent
                         ? new OutboundResult.Lost("no answer in " + mRequest.timeout(), true)
--- a/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
+++ b/relay/src/main/java/io/azurestage/relay/http/OutboundConnection.java
@@ -48,6 +48,7 @@
     private static final int MAX_BYTES_BEFORE_BODY = 1 << 20;
 
     private final Consumer<OutboundConnection> mOnIdle;
+    private final Consumer<OutboundConnection> mOnSilent;
     private final ResponseBufferBudget mBufferBudget;
     private final ResponseDecoder mDecoder = new ResponseDecoder();
     private ChannelHandlerContext mContext;
@@ -63,8 +64,19 @@
     private long mIdleLimitNanos = DEFAULT_IDLE_LIMIT_NANOS;
     private long mIdleSinceNanos;
 
-    OutboundConnection(Consumer<OutboundConnection> onIdle, ResponseBufferBudget bufferBudget) {
+    /**
+     * Creates a connection that is not open yet.
+     *
+     * @param onIdle called when a response is complete and the connection can be used again
+     * @param onSilent called when a kept connection has not answered in time
+     * @param bufferBudget budget for incomplete responses
+     */
+    OutboundConnection(
+            Consumer<OutboundConnection> onIdle,
+            Consumer<OutboundConnection> onSilent,
+            ResponseBufferBudget bufferBudget) {
         mOnIdle = onIdle;
+        mOnSilent = onSilent;
         mBufferBudget = bufferBudget;
     }
 
@@ -97,6 +109,11 @@
         return mIdleLimitNanos;
     }
 
+    /** Returns when the last response was complete. */
+    long idleSinceNanos() {
+        return mIdleSinceNanos;
+    }
+
     void setIdleSince(long nowNanos) {
         mIdleSinceNanos = nowNanos;
     }
@@ -111,7 +128,13 @@
         mCall = call;
         mBytesBeforeBody = 0;
         mRequestsSent++;
-        call.sentOn(mContext.channel());
+        call.sentOn(
+                mContext.channel(),
+                () -> {
+                    if (mRequestsSent > 1) {
+                        mOnSilent.accept(this);
+                    }
+                });
         OutboundRequest r = call.request();
         mDecoder.expectResponseTo(r.method());
         boolean isShort = r.body().length() <= BodyInput.HTTP_PIECE_BYTES;
