Check a few watches often, and tell the other nodes what they read

Cause: a watch waits 15.7 s for an answer, and was renewed only after another call had failed. The store answered the renewals of leases all the time, so it was not down; E602 came after 15.7 s, so the silence was not noticed sooner.

Change: three designated nodes let the store hold a watch call for 1.5 s only, two calls a second for the whole fleet. They tell the others of a version that they have read; a node that learns of one so tells a few more, and lists its keys again if its own watch does not report it.

--- a/core/src/main/java/io/azurestage/core/quota/QuotaOwners.java
+++ b/core/src/main/java/io/azurestage/core/quota/QuotaOwners.java
@@ -1,5 +1,6 @@
 package io.azurestage.core.quota;
 
+import io.azurestage.core.routing.RendezvousHash;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -10,8 +11,6 @@
  * Immutable.
  */
 public final class QuotaOwners {
-    private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
-
     private final List<String> mNodes;
 
     /**
@@ -42,7 +41,7 @@
         String owner = null;
         long highest = 0;
         for (String node : mNodes) {
-            long weight = weight(partner, node);
+            long weight = RendezvousHash.weight(partner, node);
             boolean higher =
                     owner == null
                             || weight > highest
@@ -54,10 +53,4 @@
         }
         return Optional.ofNullable(owner);
     }
-
-    private static long weight(String partner, String node) {
-        long hash = (partner.hashCode() * MULTIPLIER) ^ (node.hashCode() * 0xC2B2AE3D27D4EB4FL);
-        hash = (hash ^ hash >>> 31) * 0xBF58476D1CE4E5B9L;
-        return hash ^ hash >>> 29;
-    }
 }
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -27,6 +27,7 @@
 import io.azurestage.relay.fleet.Announcer;
 import io.azurestage.relay.fleet.CallRecords;
 import io.azurestage.relay.fleet.ConfigFeed;
+import io.azurestage.relay.fleet.ConfigSpread;
 import io.azurestage.relay.fleet.FleetDirectory;
 import io.azurestage.relay.fleet.LeaveRecords;
 import io.azurestage.relay.fleet.PrefixFeed;
@@ -46,6 +47,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -130,6 +133,7 @@
     private final FleetDirectory mDirectory;
     private final Announcer mAnnouncer;
     private final ConfigFeed mConfigFeed;
+    private final ConfigSpread mConfigSpread;
     private final PrefixFeed mConfigKeyFeed;
     private final PrefixFeed mEntryKeyFeed;
     private final LinkServer mLinkServer;
@@ -183,9 +187,16 @@
         mCallRecords = new CallRecords(loop, port.store(), events);
         mPauses = new PauseDetector(time);
         mLocalBackend = localBackend(port, calls, levels);
-        mConfigFeed =
-                new ConfigFeed(port.configKey(), port.configDecoder(), this::applyConfig, events);
         String link = hostPort(settings.linkAddress());
+        mConfigSpread = configSpread(port, link);
+        mConfigFeed =
+                new ConfigFeed(
+                        port.configKey(),
+                        port.configDecoder(),
+                        this::applyConfig,
+                        mConfigSpread,
+                        this::distrustWatches,
+                        events);
         String ownKey = NODE_ENTRY_PREFIX + link;
         mAnnouncer = new Announcer(loop, time, port.store(), ownKey, events);
         mQuotas = quotaExchange(time, link);
@@ -213,13 +224,25 @@
                         metrics,
                         mQuotas);
         mEntryGate = new EntryGate(mEntryHandler, port.names().requestId(), metrics, events);
-        mDirectory.onNodesChanged(mQuotas::setNodes);
+        mDirectory.onNodesChanged(this::nodesChanged);
         mLinkServer = new LinkServer(time, mPauses, self, mLocalBackend, mGuard.memory());
         mConfigKeyFeed =
                 new PrefixFeed(loop, port.store(), port.configPrefix(), mConfigFeed, events);
         mEntryKeyFeed = new PrefixFeed(loop, port.store(), NODE_ENTRY_PREFIX, mDirectory, events);
     }
 
+    private void nodesChanged(Set<String> addresses) {
+        mQuotas.setNodes(addresses);
+        mConfigSpread.setNodes(addresses);
+    }
+
+    /** Whatever has silenced one idle connection to the store may have silenced the other. */
+    private void distrustWatches() {
+        String reason = "no report of version " + mConfigFeed.version() + ", which a node has read";
+        mConfigKeyFeed.distrustWatch(reason);
+        mEntryKeyFeed.distrustWatch(reason);
+    }
+
     private LocalBackend localBackend(
             PlatformPort port, CallAttribution calls, ChainLevels levels) {
         return new LocalBackend(
@@ -249,13 +272,23 @@
                 (owner, reports) -> mDirectory.link(owner).sendReports(reports));
     }
 
+    private ConfigSpread configSpread(PlatformPort port, String link) {
+        return new ConfigSpread(
+                mLoop,
+                port.store(),
+                port.configPrefix(),
+                link,
+                a -> mDirectory.link(a),
+                new Random(mIdentity.incarnation()));
+    }
+
     private LinkSelf linkSelf() {
         return new LinkSelf(
                 mIdentity,
                 new AtomicLong()::incrementAndGet,
                 mConfigFeed::version,
                 mConfigFeed::document,
-                d -> mConfigFeed.offer(d, "node"),
+                mConfigFeed::receive,
                 mQuotas,
                 mReports::onLeaveRemembered);
     }
--- a/relay/src/main/java/io/azurestage/relay/fleet/ConfigFeed.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/ConfigFeed.java
@@ -31,12 +31,17 @@
         TrafficConfig decode(byte[] document) throws IOException;
     }
 
+    private static final String STORE = "store";
+
     private final String mKey;
     private final Decoder mDecoder;
     private final Consumer<TrafficConfig> mOnAdopted;
+    private final ConfigSpread mSpread;
+    private final Runnable mOnSilentWatch;
     private final EventLog mEvents;
     private byte[] mDocument;
     private long mVersion;
+    private long mStoredVersion;
 
     /**
      * Creates a feed without a configuration.
@@ -44,24 +49,38 @@
      * @param key store key of the latest configuration
      * @param decoder decodes documents
      * @param onAdopted called with each configuration that becomes active
+     * @param spread passes versions on to other nodes
+     * @param onSilentWatch called when another node has read a version that this one has not
      * @param events event log
      */
     public ConfigFeed(
-            String key, Decoder decoder, Consumer<TrafficConfig> onAdopted, EventLog events) {
+            String key,
+            Decoder decoder,
+            Consumer<TrafficConfig> onAdopted,
+            ConfigSpread spread,
+            Runnable onSilentWatch,
+            EventLog events) {
         mKey = key;
         mDecoder = decoder;
         mOnAdopted = onAdopted;
+        mSpread = spread;
+        mOnSilentWatch = onSilentWatch;
         mEvents = events;
     }
 
     /**
-     * Activates a document from the store or from another node if its version is higher than the
-     * active one. A document that cannot be decoded is logged and ignored.
+     * Activates a document of another node if its version is higher than the active one. A document
+     * that cannot be decoded is logged and ignored.
      *
      * @param document bytes as the operator wrote them
-     * @param source origin of the document, for the event log
      */
-    public void offer(byte[] document, String source) {
+    public void receive(byte[] document) {
+        if (offer(document, "node")) {
+            mSpread.onReceived(mVersion, () -> mStoredVersion, mOnSilentWatch);
+        }
+    }
+
+    private boolean offer(byte[] document, String source) {
         TrafficConfig config;
         try {
             config = mDecoder.decode(document);
@@ -69,10 +88,13 @@
             mEvents.record(
                     EventType.CONFIG_REFUSED,
                     Map.of("reason", String.valueOf(e.getMessage()), "source", source));
-            return;
+            return false;
+        }
+        if (source.equals(STORE)) {
+            mStoredVersion = Math.max(mStoredVersion, config.version());
         }
         if (config.version() <= mVersion) {
-            return;
+            return false;
         }
         mVersion = config.version();
         mDocument = document.clone();
@@ -83,6 +105,7 @@
                         "version", Long.toString(mVersion),
                         "routes", Integer.toString(config.routes().size()),
                         "source", source));
+        return true;
     }
 
     /**
@@ -111,7 +134,9 @@
     @Override
     public void put(Versioned value) {
         if (value.key().equals(mKey)) {
-            offer(value.value(), "store");
+            if (offer(value.value(), STORE)) {
+                mSpread.onRead();
+            }
         }
     }
 
--- a/relay/src/main/java/io/azurestage/relay/fleet/PrefixFeed.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/PrefixFeed.java
@@ -100,6 +100,17 @@
         return mListed;
     }
 
+    /**
+     * Lists the keys again if a watch is open: something else shows that it misses changes.
+     *
+     * @param reason what shows it, for the event log
+     */
+    public void distrustWatch(String reason) {
+        if (mWatch != null) {
+            onFailure(reason);
+        }
+    }
+
     /** Closes the watch; the listener is not called any more. */
     public void close() {
         mClosed = true;
--- a/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
@@ -154,6 +154,15 @@
         }
     }
 
+    /** Tells the peer which configuration is in force here; the first message does so as well. */
+    public void announceVersion() {
+        if (isUp()) {
+            write(mExchange.newProbe());
+        } else {
+            connect();
+        }
+    }
+
     /**
      * Tells the peer that an earlier process of it has acknowledged that a server leaves. Without a
      * connection one is opened, and the caller is to repeat this.
--- a/relay/src/test/java/io/azurestage/relay/MapStore.java
+++ b/relay/src/test/java/io/azurestage/relay/MapStore.java
@@ -26,6 +26,7 @@
     private final List<Watch> mWatches = new ArrayList<>();
     private final List<Consumer<StoreReset>> mResetListeners = new ArrayList<>();
     private final Map<String, Versioned> mCopy = new HashMap<>();
+    private final Map<String, Duration> mCheckIntervals = new HashMap<>();
     private long mCopiedRevision;
     private long mRevision = 1;
     private long mLastLease;
@@ -58,6 +59,23 @@
         }
     }
 
+    /** Lets the first watch of a prefix report nothing more, as on a silent connection. */
+    public synchronized void silenceFirstWatch(String prefix) {
+        Watch first =
+                mWatches.stream().filter(w -> w.prefix.equals(prefix)).findFirst().orElseThrow();
+        mWatches.remove(first);
+    }
+
+    /** Returns how soon a watch of a prefix was last asked to notice a silent connection. */
+    public synchronized Duration checkInterval(String prefix) {
+        return mCheckIntervals.get(prefix);
+    }
+
+    @Override
+    public synchronized void checkWatches(String prefix, Duration interval) {
+        mCheckIntervals.put(prefix, interval);
+    }
+
     /** Takes the copy that {@link #restoreCopy} brings back. */
     public synchronized void takeCopy() {
         mCopy.clear();
--- a/store/src/main/java/io/azurestage/store/PlatformStore.java
+++ b/store/src/main/java/io/azurestage/store/PlatformStore.java
@@ -64,6 +64,15 @@
     AutoCloseable watch(
             String key, boolean prefix, long fromRevision, Consumer<WatchEvent> listener);
 
+    /**
+     * Sets how soon the watches of a prefix notice that their connection has fallen silent. A
+     * shorter time takes more calls. Services that notice it at once ignore this.
+     *
+     * @param prefix the prefix of the watches
+     * @param interval longest time without an answer of the service
+     */
+    default void checkWatches(String prefix, Duration interval) {}
+
     /**
      * Adds a listener that is called after the service has come back from an older copy of its
      * data. At that moment all watches have ended, without a further event. Leases that were
