Take only requests late in a stop that end before the node does

Cause: requests were taken until half of the stop time whatever their deadline, and the node ended at nine tenths of it.

Change: after three seconds a stopping node refuses requests whose deadline lies after its end, as not run; it ends 0.4 s before it is killed instead of a tenth of the stop time.

Test that failed before: LateRequestsTest.requestThatMayOutliveTheNodeIsRefused.

--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -72,12 +72,6 @@
     /** Missed heartbeats after which a backend server counts as gone. */
     private static final int MAX_MISSED_HEARTBEATS = 5;
 
-    /** Fraction of the stop time after which the node accepts no new requests. */
-    private static final double CLOSE_FRACTION = 0.5;
-
-    /** Fraction of the stop time after which the node stops even if requests are still running. */
-    private static final double EXIT_FRACTION = 0.9;
-
     /**
      * Fraction of the drain time in which queued work is still sent, so that it arrives in time.
      */
@@ -149,6 +143,7 @@
     private boolean mStopping;
     private boolean mListenerClosed;
     private Runnable mStoppedCallback;
+    private StopTimes mStopTimes;
     private long mStopStartedNanos;
     private long mStoreEra;
 
@@ -517,6 +512,7 @@
         }
         mStopping = true;
         mStoppedCallback = stoppedCallback;
+        mStopTimes = StopTimes.of(mSettings.stopTime());
         mStopStartedNanos = mTime.nanos();
         mEvents.record(
                 EventType.NODE_DRAINING,
@@ -527,24 +523,26 @@
     }
 
     /**
-     * Closes the port partway through the stop time, and reports when the node has stopped. Callers
-     * should leave when readiness checks fail, but some stay until the port is closed. From then on
-     * no request is passed on, so callers can safely send it to another node.
+     * Takes fewer and fewer requests, and reports when the node has stopped. Callers should leave
+     * when readiness checks fail, but some stay until the port is closed. From then on no request
+     * is passed on, so callers can safely send it to another node.
      */
     private void continueStop() {
         if (!mStopping) {
             return;
         }
-        long elapsedNanos = mTime.nanos() - mStopStartedNanos;
-        long stopNanos = mSettings.stopTime().toNanos();
-        if (!mListenerClosed && elapsedNanos >= (long) (stopNanos * CLOSE_FRACTION)) {
+        Duration elapsed = Duration.ofNanos(mTime.nanos() - mStopStartedNanos);
+        if (elapsed.compareTo(mStopTimes.anyDeadline()) >= 0) {
+            mEntryHandler.takeUntil(mStopStartedNanos + mStopTimes.latestDeadline().toNanos());
+        }
+        if (!mListenerClosed && elapsed.compareTo(mStopTimes.close()) >= 0) {
             mListenerClosed = true;
             mListener.close();
             mEntryGate.close();
             return;
         }
         boolean idle = mEntryHandler.openRequests() == 0 && mLocalBackend.inProgress() == 0;
-        if (!mListenerClosed || !idle && elapsedNanos < (long) (stopNanos * EXIT_FRACTION)) {
+        if (!mListenerClosed || !idle && elapsed.compareTo(mStopTimes.exit()) < 0) {
             return;
         }
         mEvents.record(
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryGate.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryGate.java
@@ -1,15 +1,10 @@
 package io.azurestage.relay.entry;
 
 import io.azurestage.core.event.EventLog;
-import io.azurestage.core.event.EventType;
 import io.azurestage.relay.RelayMetrics;
 import io.azurestage.relay.http.Exchange;
-import io.azurestage.relay.http.Fields;
 import io.azurestage.relay.http.InboundRequest;
 import io.azurestage.relay.http.RequestHandler;
-import io.azurestage.relay.owner.LocalBackend;
-import java.time.Duration;
-import java.util.Map;
 
 /**
  * Passes requests on until it is closed, and refuses later ones as not run. A request that had been
@@ -17,12 +12,8 @@
  * end before its answer. Confined to the event loop.
  */
 public final class EntryGate implements RequestHandler {
-    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-
     private final RequestHandler mHandler;
-    private final String mIdName;
-    private final RelayMetrics mMetrics;
-    private final EventLog mEvents;
+    private final StopRefusal mRefusal;
     private boolean mClosed;
 
     /**
@@ -35,9 +26,7 @@
      */
     public EntryGate(RequestHandler handler, String idName, RelayMetrics metrics, EventLog events) {
         mHandler = handler;
-        mIdName = idName;
-        mMetrics = metrics;
-        mEvents = events;
+        mRefusal = new StopRefusal(idName, metrics, events);
     }
 
     /** Refuses requests from now on. */
@@ -47,20 +36,10 @@
 
     @Override
     public void handle(InboundRequest request, Exchange exchange) {
-        if (!mClosed) {
+        if (mClosed) {
+            mRefusal.reply(request, exchange);
+        } else {
             mHandler.handle(request, exchange);
-            return;
         }
-        mMetrics.refused(LocalBackend.STOPPING);
-        mEvents.record(
-                EventType.REQUEST_REFUSED,
-                Fields.first(request.fields(), mIdName).orElse(""),
-                "",
-                Map.of(
-                        "reason",
-                        LocalBackend.STOPPING,
-                        "retryAfterMillis",
-                        Long.toString(RETRY_AFTER.toMillis())));
-        exchange.reply(Replies.retryLater("the node is stopping; not run", RETRY_AFTER));
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryHandler.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryHandler.java
@@ -77,6 +77,7 @@
     private final BiConsumer<ChainKey, Double> mDownstreamCallsListener;
     private final RelayMetrics mMetrics;
     private final QuotaExchange mQuotas;
+    private final StopRefusal mStopRefusal;
     private final SplitChooser mSplit = new SplitChooser();
     private final Set<String> mCalledByServers = new HashSet<>();
     private RouteTable mRoutes;
@@ -84,6 +85,7 @@
     private RankTable mRanks;
     private long mConfigVersion;
     private int mOpenRequests;
+    private OptionalLong mLatestDeadlineNanos = OptionalLong.empty();
 
     /**
      * Creates a handler without a configuration. It refuses all requests until it has one.
@@ -121,6 +123,7 @@
         mEvents = events;
         mDownstreamCallsListener = downstreamCalls;
         mMetrics = metrics;
+        mStopRefusal = new StopRefusal(settings.names().requestId(), metrics, events);
     }
 
     /**
@@ -148,6 +151,16 @@
         mCalledByServers.add(operation);
     }
 
+    /**
+     * Refuses requests with a later deadline from now on, as not run: the node will have stopped
+     * before their answers.
+     *
+     * @param deadlineNanos latest deadline, on the clock of this node
+     */
+    public void takeUntil(long deadlineNanos) {
+        mLatestDeadlineNanos = OptionalLong.of(deadlineNanos);
+    }
+
     /**
      * Returns the number of requests that have not been answered yet.
      *
@@ -199,16 +212,22 @@
             Exchange exchange,
             Route route,
             CallerIdentifier.Accepted caller) {
+        long nowNanos = mTime.nanos();
+        OptionalLong remaining = remainingNanos(request);
+        long deadlineNanos = nowNanos + timeoutNanos(remaining, route);
+        if (mLatestDeadlineNanos.isPresent()
+                && deadlineNanos - mLatestDeadlineNanos.getAsLong() > 0) {
+            mStopRefusal.reply(request, exchange);
+            return;
+        }
         Optional<String> partner = caller.partner().map(PartnerPolicy::name);
         if (partner.isPresent() && !mQuotas.admit(partner.get())) {
             refuseOverQuota(request, exchange, route, partner.get());
             return;
         }
-        long nowNanos = mTime.nanos();
         String service = mSplit.next(route);
         String id = requestId(request);
         boolean calledByServers = mCalledByServers.contains(route.name());
-        OptionalLong remaining = remainingNanos(request);
         Optional<ParentRequest> parent =
                 calledByServers
                         ? mAttribution.attribute(
@@ -236,7 +255,7 @@
                         request.host(),
                         caller.fields(),
                         request.body(),
-                        nowNanos + timeoutNanos(remaining, route),
+                        deadlineNanos,
                         service,
                         route.name(),
                         workClass,
--- a/relay/src/test/java/io/azurestage/relay/LateRequestsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/LateRequestsTest.java
@@ -13,7 +13,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Guards against requests that a stopping node takes so late that it ends before their answer. The
@@ -158,4 +162,50 @@
         assertRunningRequestIsAnswered();
         assertThat(mServer.requests()).as("requests that reached the server").hasSize(2);
     }
+
+    private RawReply sendWithTimeout(String id, int leftMillis) throws IOException {
+        mLeftMillis = leftMillis;
+        return sendRaw(mEntry, id, "POST", "/w/" + id, "", "");
+    }
+
+    // Guards against a request that is taken late in a long stop and cut off at its end.
+    @Test
+    void requestThatMayOutliveTheNodeIsRefused() throws Exception {
+        mStopTime = Duration.ofSeconds(8);
+        startWithRunningRequest();
+        Relay relay = mRelays.get(0);
+        long start = System.nanoTime();
+        mLoop.run(() -> relay.stop(() -> mOpenAtEnd.complete(relay.openRequests())));
+        assertThat(sendWithTimeout("early", 7_900).status()).isEqualTo(200);
+        LockSupport.parkNanos(
+                start
+                        + StopTimes.of(mStopTime).anyDeadline().plusMillis(300).toNanos()
+                        - System.nanoTime());
+        RawReply late = sendWithTimeout("late", 5_000);
+        assertThat(late.status()).isEqualTo(503);
+        assertThat(late.head()).contains("Retry-After: ");
+        assertThat(sendWithTimeout("short", 2_000).status()).isEqualTo(200);
+        assertThat(mServer.requests()).noneMatch(r -> r.line().contains("late"));
+        assertThat(mEvents).anyMatch(e -> e.contains("node-stopping") && e.contains("late"));
+        assertRunningRequestIsAnswered();
+    }
+
+    @Nested
+    class Times {
+        @ParameterizedTest
+        @CsvSource({
+            "2s, 1s, 1s, 1.8s",
+            "6s, 3s, 3s, 5.6s",
+            "10s, 3s, 5s, 9.6s",
+            "30s, 3s, 15s, 29.6s"
+        })
+        void stepsFollowFromTheStopTime(String stop, String any, String close, String exit) {
+            assertThat(StopTimes.of(duration(stop)))
+                    .isEqualTo(new StopTimes(duration(any), duration(close), duration(exit)));
+        }
+
+        private static Duration duration(String seconds) {
+            return Duration.parse("PT" + seconds);
+        }
+    }
 }
--- a/relay/src/test/java/io/azurestage/relay/RelayScenario.java
+++ b/relay/src/test/java/io/azurestage/relay/RelayScenario.java
@@ -57,6 +57,8 @@
     final List<Relay> mRelays = new ArrayList<>();
     final List<String> mEvents = new CopyOnWriteArrayList<>();
     final List<RelayMetrics> mMetrics = new ArrayList<>();
+    int mLeftMillis = 5_000;
+    Duration mStopTime = Duration.ofSeconds(3);
     ConfigFeed.Decoder mDecoder = RelayScenario::decode;
     RawServer mServer;
     private long mSequence;
@@ -131,7 +133,7 @@
                         freeAddress(),
                         Duration.ofMillis(1_500),
                         Duration.ofSeconds(2),
-                        Duration.ofSeconds(3),
+                        mStopTime,
                         0.2,
                         48,
                         Duration.ofSeconds(10),
@@ -228,7 +230,9 @@
                                             + target
                                             + " HTTP/1.1\r\nHost: h\r\nId: "
                                             + id
-                                            + "\r\nLeft-Ms: 5000\r\nCaller: forged\r\n"
+                                            + "\r\nLeft-Ms: "
+                                            + mLeftMillis
+                                            + "\r\nCaller: forged\r\n"
                                             + lines
                                             + "Connection: close\r\nContent-Length: "
                                             + body.length()
