Write answers to their end before a stopping node ends

Cause: an answer counted as delivered once it was handed to the connection. Results that peers had not taken yet, and records of leaves that waited to be written again, did not count either.

--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -541,18 +541,28 @@
             mEntryGate.close();
             return;
         }
-        boolean idle = mEntryHandler.openRequests() == 0 && mLocalBackend.inProgress() == 0;
-        if (!mListenerClosed || !idle && elapsed.compareTo(mStopTimes.exit()) < 0) {
+        if (!mListenerClosed || !isIdle() && elapsed.compareTo(mStopTimes.exit()) < 0) {
             return;
         }
         mEvents.record(
                 EventType.NODE_STOPPED,
                 Map.of(
                         "open", Integer.toString(mEntryHandler.openRequests()),
-                        "running", Integer.toString(mLocalBackend.inProgress())));
+                        "running", Integer.toString(mLocalBackend.inProgress()),
+                        "answering", Integer.toString(mListener.busyConnections()),
+                        "unwritten", Integer.toString(mLinkServer.unwritten())));
         mStoppedCallback.run();
     }
 
+    /** Reports whether all that was taken is run, written and recorded. */
+    private boolean isIdle() {
+        return mEntryHandler.openRequests() == 0
+                && mLocalBackend.inProgress() == 0
+                && mListener.busyConnections() == 0
+                && mLinkServer.unwritten() == 0
+                && !mLeaveRecords.isWriting();
+    }
+
     private void serverChanged() {
         mLocalBackend.serverChanged();
         BackendServer s = mTracker.server().orElseThrow();
--- a/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecord.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecord.java
@@ -102,6 +102,11 @@
         }
     }
 
+    /** Reports whether a write is in progress or will be repeated. */
+    boolean isWriting() {
+        return mWriting;
+    }
+
     /** Returns the newest incarnation that has been reported as leaving. */
     long reported() {
         return mReported;
--- a/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
@@ -144,6 +144,15 @@
                 + new String(v.value(), StandardCharsets.UTF_8);
     }
 
+    /**
+     * Reports whether a record is being written or waits to be written again.
+     *
+     * @return whether the store may lack a record
+     */
+    public boolean isWriting() {
+        return mRecords.values().stream().anyMatch(LeaveRecord::isWriting);
+    }
+
     /**
      * Records that a server is leaving. Call it for each report of the server that it leaves: the
      * record is written if the store does not hold it, or not for much longer. A failed write is
--- a/relay/src/main/java/io/azurestage/relay/http/HttpListener.java
+++ b/relay/src/main/java/io/azurestage/relay/http/HttpListener.java
@@ -150,6 +150,16 @@
         return ((InetSocketAddress) mChannel.localAddress()).getPort();
     }
 
+    /**
+     * Returns the number of connections with a request that is handled or a response that is not
+     * written completely. Call it on the event loop.
+     *
+     * @return a count of connections
+     */
+    public int busyConnections() {
+        return (int) mConnections.stream().filter(InboundConnection::isBusy).count();
+    }
+
     /** Closes each connection after its next response. Call it on the event loop. */
     public void drain() {
         mDraining.set(true);
--- a/relay/src/main/java/io/azurestage/relay/link/IncomingCalls.java
+++ b/relay/src/main/java/io/azurestage/relay/link/IncomingCalls.java
@@ -120,6 +120,7 @@
     private long mDisconnectedNanos;
     private int mRetainedBytes;
     private boolean mStartScheduled;
+    private int mUnwritten;
 
     IncomingCalls(TimeSource time, PauseDetector pauses, CallTarget target) {
         this(time, pauses, target, MemoryAccount.unlimited());
@@ -375,6 +376,14 @@
 
     /** Writes a message or a body. A peer that misses a part queries it on a new connection. */
     private void write(Object message) {
-        mChannel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        mUnwritten++;
+        mChannel.writeAndFlush(message)
+                .addListener(f -> mUnwritten--)
+                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    /** Returns the number of messages and bodies that the peer has not taken yet. */
+    int unwritten() {
+        return mUnwritten;
     }
 }
--- a/relay/src/main/java/io/azurestage/relay/link/LinkServer.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkServer.java
@@ -121,6 +121,15 @@
         mCallsByPeer.values().forEach(p -> p.tick(now));
     }
 
+    /**
+     * Returns the number of results that peers have not taken yet.
+     *
+     * @return a count of messages and bodies
+     */
+    public int unwritten() {
+        return mCallsByPeer.values().stream().mapToInt(IncomingCalls::unwritten).sum();
+    }
+
     /** Stops listening; open connections stay. */
     public void close() {
         mChannel.close();
