Compare the address in a heartbeat with that of the VM as addresses

The texts of two IPv6 addresses may differ. No behaviour changes for IPv4. The constructor of the node and a line of a test are within the bounds of the linter again.

--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -169,13 +169,7 @@
         mIdentity = new NodeIdentity(settings.nodeId(), time.now().toEpochMilli());
         mTracker = tracker(settings, time);
         mLeaveRecords = new LeaveRecords(loop, time, port.store(), events);
-        mReports =
-                new ServerReports(
-                        settings.service(),
-                        settings.linkAddress().getAddress().getHostAddress(),
-                        mTracker,
-                        mLeaveRecords,
-                        this::serverChanged);
+        mReports = serverReports();
         SplittableRandom random = new SplittableRandom(mIdentity.incarnation());
         CallAttribution calls = new CallAttribution(time, random.split());
         ChainLevels levels = new ChainLevels(time);
@@ -267,6 +261,15 @@
                 (owner, reports) -> mDirectory.link(owner).sendReports(reports));
     }
 
+    private ServerReports serverReports() {
+        return new ServerReports(
+                mSettings.service(),
+                mSettings.linkAddress().getAddress(),
+                mTracker,
+                mLeaveRecords,
+                this::serverChanged);
+    }
+
     private ConfigSpread configSpread(PlatformPort port, String link) {
         return new ConfigSpread(
                 mLoop,
--- a/relay/src/main/java/io/azurestage/relay/ServerReports.java
+++ b/relay/src/main/java/io/azurestage/relay/ServerReports.java
@@ -3,7 +3,9 @@
 import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.backend.BackendTracker;
 import io.azurestage.core.backend.Heartbeat;
+import io.azurestage.mesh.Address;
 import io.azurestage.relay.fleet.LeaveRecords;
+import java.net.InetAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
@@ -18,7 +20,7 @@
     private static final int MAX_EARLY_HEARTBEATS = 32;
 
     private final String mService;
-    private final String mHost;
+    private final InetAddress mVm;
     private final BackendTracker mTracker;
     private final LeaveRecords mLeaveRecords;
     private final Runnable mOnServerChanged;
@@ -29,19 +31,19 @@
      * Creates an instance that has not read the records of servers that have left.
      *
      * @param service service of the backend server on this VM
-     * @param host IP address of this VM
+     * @param vm IP address of this VM
      * @param tracker tracks the state of the server
      * @param leaveRecords records of servers that leave
      * @param onServerChanged called when the server or its state has changed
      */
     ServerReports(
             String service,
-            String host,
+            InetAddress vm,
             BackendTracker tracker,
             LeaveRecords leaveRecords,
             Runnable onServerChanged) {
         mService = service;
-        mHost = host;
+        mVm = vm;
         mTracker = tracker;
         mLeaveRecords = leaveRecords;
         mOnServerChanged = onServerChanged;
@@ -108,10 +110,9 @@
                             + "; the backend server of this VM belongs to "
                             + mService);
         }
-        String host = h.address().substring(0, h.address().lastIndexOf(':'));
-        if (!host.equals(mHost)) {
+        if (Address.parseRemote(h.address()).filter(a -> a.getAddress().equals(mVm)).isEmpty()) {
             throw new IllegalArgumentException(
-                    "heartbeat.address is on " + host + "; this VM is " + mHost);
+                    "heartbeat.address is " + h.address() + "; this VM is " + mVm.getHostAddress());
         }
     }
 
--- a/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/ServerReportsTest.java
@@ -10,6 +10,7 @@
 import io.azurestage.core.time.HybridClock;
 import io.azurestage.core.time.ManualTimeSource;
 import io.azurestage.relay.fleet.LeaveRecords;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -32,7 +33,7 @@
     private final ServerReports mReports =
             new ServerReports(
                     "books",
-                    "10.0.0.1",
+                    new InetSocketAddress("10.0.0.1", 0).getAddress(),
                     mTracker,
                     new LeaveRecords(
                             mLoop.loop(),
--- a/relay/src/test/java/io/azurestage/relay/SlowReadersAtStopTest.java
+++ b/relay/src/test/java/io/azurestage/relay/SlowReadersAtStopTest.java
@@ -29,7 +29,8 @@
         client.getOutputStream()
                 .write(
                         RawServer.text(
-                                "GET /r/ HTTP/1.1\r\nHost: h\r\nId: slow\r\nLeft-Ms: 5000\r\n\r\n"));
+                                "GET /r/ HTTP/1.1\r\nHost: h\r\nId: slow\r\n"
+                                        + "Left-Ms: 5000\r\n\r\n"));
         assertThat(client.getInputStream().read()).isEqualTo('H');
         Loop.await("the request is answered", () -> mRelays.get(0).openRequests() == 0);
         return client;
