Play resets of the store, silent connections and odd heartbeats in the soak

The series of a seed without the option is as before. At the end each node must have the routes of the last version.

Event 518 states what a node has written to the store: without it the logs of a soak did not tell an entry that was written late from one that was hidden.

--- a/bench/src/main/java/io/azurestage/bench/BenchMain.java
+++ b/bench/src/main/java/io/azurestage/bench/BenchMain.java
@@ -26,7 +26,7 @@
  * bench spread [--nodes N,...] [--json]
  * bench outage [--seed N] [--json]
  * bench cost [--flags "FLAG ..."] [--json]
- * bench soak [--seed N] [--nodes N] [--seconds N] [--json]
+ * bench soak [--seed N] [--nodes N] [--seconds N] [--store-faults] [--json]
  * </pre>
  *
  * <p>The last line of the output is one JSON object with the figures by policy, or of the
@@ -94,6 +94,11 @@
                                         + Spread.DEFAULT_SIZES))
                 .addOption(option("flags", "extra JVM flags for the nodes, for cost"))
                 .addOption(option("policy", "comma-separated policies, default all"))
+                .addOption(
+                        Option.builder()
+                                .longOpt("store-faults")
+                                .desc("soak: the store comes back from copies or falls silent")
+                                .get())
                 .addOption(
                         Option.builder().longOpt("json").desc("print only the JSON result").get());
     }
@@ -166,7 +171,12 @@
         int nodes = Integer.parseInt(line.getOptionValue("nodes", DEFAULT_SOAK_NODES));
         int seconds = Integer.parseInt(line.getOptionValue("seconds", DEFAULT_SOAK_SECONDS));
         Soak.Result result =
-                new Soak(seed, nodes, Duration.ofSeconds(seconds), SOAK_RATE_PER_NODE * nodes)
+                new Soak(
+                                seed,
+                                nodes,
+                                Duration.ofSeconds(seconds),
+                                SOAK_RATE_PER_NODE * nodes,
+                                line.hasOption("store-faults"))
                         .run();
         print(result.figures());
         if (!result.violations().isEmpty()) {
--- a/bench/src/main/java/io/azurestage/bench/cost/CostStore.java
+++ b/bench/src/main/java/io/azurestage/bench/cost/CostStore.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.azurestage.core.route.RequestLimits;
 import io.azurestage.relay.http.Exchange;
+import io.azurestage.relay.http.Field;
 import io.azurestage.relay.http.HttpListener;
 import io.azurestage.relay.http.InboundRequest;
 import io.azurestage.relay.http.Reply;
@@ -15,16 +16,21 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 /**
- * In-memory stand-in of the platform store, without faults, for cost measurements. Leases never
- * expire. Its state is confined to its event loop.
+ * In-memory stand-in of the platform store. Leases never expire. It may come back from an older
+ * copy, and idle connections may fall silent; otherwise it has no faults. Its state is confined to
+ * its event loop.
  */
 public final class CostStore {
     private record Item(String value, long rev, long lease) {}
@@ -35,14 +41,19 @@
         private final String mPrefix;
         private final long mAfter;
         private final Exchange mExchange;
+        private final InetSocketAddress mClient;
 
-        Watch(String prefix, long after, Exchange exchange) {
+        Watch(String prefix, long after, Exchange exchange, InetSocketAddress client) {
             mPrefix = prefix;
             mAfter = after;
             mExchange = exchange;
+            mClient = client;
         }
     }
 
+    /** What the store comes back with. */
+    private record Copy(Map<String, Item> items, int changes, long revision) {}
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final MultiThreadIoEventLoopGroup mGroup;
@@ -50,8 +61,13 @@
     private final TreeMap<String, Item> mItems = new TreeMap<>();
     private final List<Change> mChanges = new ArrayList<>();
     private final List<Watch> mWatches = new ArrayList<>();
+    private final Map<InetSocketAddress, Long> mLastUseNanos = new HashMap<>();
+    private final Set<InetSocketAddress> mSilent = new HashSet<>();
+    private Copy mCopy = new Copy(Map.of(), 0, 10);
     private long mRevision = 10;
     private long mLastLeaseId;
+    private long mEra = 1;
+    private boolean mAway;
 
     /**
      * Creates an empty store and opens its port on the loopback address.
@@ -85,13 +101,59 @@
         set(key, Base64.getEncoder().encodeToString(bytes), 0);
     }
 
+    /** Takes the copy that {@link #comeBack} restores. Call it on the event loop. */
+    public void takeCopy() {
+        mCopy = new Copy(Map.copyOf(mItems), mChanges.size(), mRevision);
+    }
+
+    /** Answers nothing more, on the present connections for good. Call it on the event loop. */
+    public void leave() {
+        mAway = true;
+        silenceIdle(Duration.ZERO);
+    }
+
+    /**
+     * Answers again, with what the copy has: what was written since is lost, and its revisions are
+     * given out again. Call it on the event loop.
+     */
+    public void comeBack() {
+        mItems.clear();
+        mItems.putAll(mCopy.items);
+        mChanges.subList(mCopy.changes, mChanges.size()).clear();
+        mRevision = mCopy.revision;
+        mEra++;
+        mAway = false;
+    }
+
+    /**
+     * Lets the connections fall silent for good that have been idle for some time, as a firewall
+     * does that forgets them. Call it on the event loop.
+     *
+     * @param idle shortest time without a request or an answer
+     */
+    public void silenceIdle(Duration idle) {
+        long now = System.nanoTime();
+        mLastUseNanos.forEach(
+                (client, used) -> {
+                    if (now - used >= idle.toNanos()) {
+                        mSilent.add(client);
+                    }
+                });
+        mWatches.removeIf(w -> mSilent.contains(w.mClient));
+    }
+
     private void handle(InboundRequest r, Exchange x) {
+        mLastUseNanos.put(r.remote(), System.nanoTime());
+        if (mAway || mSilent.contains(r.remote())) {
+            x.onGone(() -> forget(r.remote()));
+            return;
+        }
         QueryStringDecoder q = new QueryStringDecoder(r.target());
         try {
             switch (q.path().replaceAll("/\\d+$", "")) {
                 case "/-/kv-key" -> key(first(q, "key"), x);
                 case "/-/kv-range" -> range(first(q, "prefix"), x);
-                case "/-/kv-watch" -> watch(q, x);
+                case "/-/kv-watch" -> watch(q, x, r.remote());
                 case "/-/kv-txn" -> txn(MAPPER.readTree(r.body().toByteArray()), x);
                 case "/-/kv-lease" -> reply(x, 200, lease(++mLastLeaseId));
                 case "/-/kv-keep" -> reply(x, 200, lease(mLastLeaseId));
@@ -126,8 +188,19 @@
         reply(x, 200, n.put("hasMore", false).put("atRev", mRevision));
     }
 
-    private void watch(QueryStringDecoder q, Exchange x) {
-        Watch w = new Watch(first(q, "prefix"), Long.parseLong(first(q, "after")), x);
+    /** The system may give the address of a closed connection to a new one. */
+    private void forget(InetSocketAddress client) {
+        mLastUseNanos.remove(client);
+        mSilent.remove(client);
+    }
+
+    private void watch(QueryStringDecoder q, Exchange x, InetSocketAddress client) {
+        x.onGone(() -> forget(client));
+        Watch w = new Watch(first(q, "prefix"), Long.parseLong(first(q, "after")), x, client);
+        if (w.mAfter > mRevision) {
+            x.reply(Reply.text(410, ""));
+            return;
+        }
         if (replyWithChanges(w, false)) {
             return;
         }
@@ -153,6 +226,7 @@
         if (events.isEmpty() && !replyIfEmpty) {
             return false;
         }
+        mLastUseNanos.put(w.mClient, System.nanoTime());
         reply(w.mExchange, 200, n.put("atRev", mRevision));
         return true;
     }
@@ -192,7 +266,8 @@
         return values == null ? "" : values.get(0);
     }
 
-    private static void reply(Exchange x, int status, JsonNode body) {
-        x.reply(Reply.text(status, body.toString()));
+    private void reply(Exchange x, int status, JsonNode body) {
+        Field era = new Field("Store-Era", Long.toString(mEra));
+        x.reply(Reply.text(status, body.toString(), era));
     }
 }
--- a/bench/src/main/java/io/azurestage/bench/soak/Soak.java
+++ b/bench/src/main/java/io/azurestage/bench/soak/Soak.java
@@ -56,6 +56,8 @@
             {"name":"order","host":"h","prefix":"/o/","routeType":"unsafe","priority":0,
              "maxAttempts":2,"timeout":"3s","targetLatency":"1s","service":"inner"},
             {"name":"inner","host":"h","prefix":"/i/","routeType":"safe","priority":1,
+             "maxAttempts":2,"timeout":"1s","targetLatency":"1s","service":"inner"},
+            {"name":"version","host":"h","prefix":"/v/%d/","routeType":"safe","priority":1,
              "maxAttempts":2,"timeout":"1s","targetLatency":"1s","service":"inner"}]}""";
     private static final String SETTINGS =
             """
@@ -72,9 +74,19 @@
         RELOAD,
         CONFIG,
         LIMIT,
-        REPLACE
+        REPLACE,
+        /** The store comes back from an older copy. */
+        DRILL,
+        /** Idle connections to the store fall silent. */
+        SILENCE,
+        /** A heartbeat comes that is not the server's. */
+        ODD_HEARTBEAT
     }
 
+    private static final int EVENTS_WITHOUT_STORE_FAULTS = Event.DRILL.ordinal();
+    private static final Duration COPY_AGE = Duration.ofMillis(1_500);
+    private static final Duration IDLE = Duration.ofSeconds(1);
+
     private final long mSeed;
     private final int mNodeCount;
     private final Duration mLength;
@@ -89,7 +101,10 @@
     private final EventLoop mLoop = (EventLoop) mGroup.next();
     private CostStore mStore;
     private ServerSocket mPortLock;
+    private final boolean mStoreFaults;
     private int mVersion = 1;
+    private String mConfig = config(2_000);
+    private boolean mDrill;
 
     /**
      * Creates a soak.
@@ -98,13 +113,15 @@
      * @param nodes number of processes, at least 2
      * @param length time from the first request to the last
      * @param perSecond requests of callers per second in all
+     * @param storeFaults whether the store has faults too, and odd heartbeats come
      * @throws IllegalArgumentException if there are fewer than 2 or more than 100 nodes
      */
-    public Soak(long seed, int nodes, Duration length, int perSecond) {
+    public Soak(long seed, int nodes, Duration length, int perSecond, boolean storeFaults) {
         if (nodes < 2 || nodes > MAX_NODES) {
             throw new IllegalArgumentException(
                     "nodes must be 2 to " + MAX_NODES + ", not " + nodes);
         }
+        mStoreFaults = storeFaults;
         mSeed = seed;
         mNodeCount = nodes;
         mLength = length;
@@ -172,6 +189,7 @@
                                         MIN_EVENT_GAP_MILLIS + mRandom.nextInt(gap));
             }
         }
+        mClients.forEach(c -> mLoop.execute(() -> c.checkVersion(mVersion)));
         sleepUntil(end + ANSWER_LIMIT.toNanos());
         return result(finalPhase);
     }
@@ -212,7 +230,7 @@
 
     private void startAll(Path folder) throws IOException {
         mStore = new CostStore(mGroup);
-        mStore.put("op/config", CONFIG.formatted(mVersion, 2_000));
+        mStore.put("op/config", mConfig);
         int[] ports = reservePorts(MAX_NODES * PORTS_PER_NODE);
         for (int i = 0; i < mNodeCount; i++) {
             int p = i * PORTS_PER_NODE;
@@ -251,7 +269,8 @@
     }
 
     private void runEvent(ExecutorService restarts) {
-        Event event = Event.values()[mRandom.nextInt(Event.values().length)];
+        int events = mStoreFaults ? Event.values().length : EVENTS_WITHOUT_STORE_FAULTS;
+        Event event = Event.values()[mRandom.nextInt(events)];
         int target = mRandom.nextInt(mNodeCount);
         int millis = 100 + mRandom.nextInt(1_500);
         SoakNode node = mNodes.get(target);
@@ -291,8 +310,13 @@
             }
             case RELOAD -> node.signal("HUP");
             case CONFIG -> {
-                String config = CONFIG.formatted(++mVersion, 1_000 + millis);
-                mLoop.execute(() -> mStore.put("op/config", config));
+                mVersion++;
+                String config = config(1_000 + millis);
+                mLoop.execute(
+                        () -> {
+                            mConfig = config;
+                            mStore.put("op/config", config);
+                        });
             }
             case LIMIT ->
                     mServers.get(target)
@@ -304,10 +328,36 @@
                                     Duration.ofMillis(3_000 + millis),
                                     millis % 2 == 0,
                                     millis / 2 % 2 == 0);
+            case DRILL -> mLoop.execute(() -> drill(millis));
+            case SILENCE -> mLoop.execute(() -> mStore.silenceIdle(IDLE));
+            case ODD_HEARTBEAT -> mServers.get(target).sendOddHeartbeat(millis % 2 == 0);
             default -> throw new IllegalStateException("unknown event " + event);
         }
     }
 
+    /** Plays one drill at a time; the operator writes its last version again after it. */
+    private void drill(int awayMillis) {
+        if (mDrill) {
+            return;
+        }
+        mDrill = true;
+        mStore.takeCopy();
+        long leave = COPY_AGE.toMillis();
+        mLoop.schedule(mStore::leave, leave, TimeUnit.MILLISECONDS);
+        mLoop.schedule(
+                () -> {
+                    mStore.comeBack();
+                    mStore.put("op/config", mConfig);
+                    mDrill = false;
+                },
+                leave + awayMillis,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private String config(int timeoutMillis) {
+        return CONFIG.formatted(mVersion, timeoutMillis, mVersion);
+    }
+
     private static void sleepUntil(long nanos) {
         for (long now = System.nanoTime(); now - nanos < 0; now = System.nanoTime()) {
             LockSupport.parkNanos(nanos - now);
--- a/bench/src/main/java/io/azurestage/bench/soak/SoakClient.java
+++ b/bench/src/main/java/io/azurestage/bench/soak/SoakClient.java
@@ -27,6 +27,8 @@
     private static final int MAX_PATIENCE_MILLIS = 400;
 
     private final EventLoop mLoop;
+    private static final int NOT_FOUND = 404;
+
     private final SoakLedger mLedger;
     private final SoakNode mNode;
     private final HttpPool mPool;
@@ -67,6 +69,31 @@
         }
     }
 
+    /** Checks that the node has the routes of a version. Call it on the event loop. */
+    void checkVersion(int version) {
+        String id = mNode.name() + "-version";
+        OutboundRequest r =
+                new OutboundRequest(
+                        "GET",
+                        "/v/" + version + "/",
+                        "h",
+                        List.of(new Field(SoakServer.ATTEMPT_ID, id)),
+                        new byte[0],
+                        DEADLINE,
+                        false,
+                        ResponseFilter.ANY);
+        mLedger.sent(id, false, mNode);
+        mPool.send(
+                r,
+                result -> {
+                    ended(id, result);
+                    if (result instanceof OutboundResult.Answered a && a.status() == NOT_FOUND) {
+                        mLedger.violated(
+                                "CONFIG: " + mNode.name() + " does not know version " + version);
+                    }
+                });
+    }
+
     private void leave(String id, OutboundCall call) {
         if (!mLedger.hasEnded(id)) {
             mLedger.left(id);
--- a/bench/src/main/java/io/azurestage/bench/soak/SoakServer.java
+++ b/bench/src/main/java/io/azurestage/bench/soak/SoakServer.java
@@ -33,6 +33,7 @@
     private static final Duration TIMEOUT_OF_CALLS = Duration.ofSeconds(1);
     private static final int SLOTS = 40;
     private static final int MISDIRECTED_REQUEST = 421;
+    private static final String HOST = "127.0.0.1";
 
     private final EventLoop mLoop;
     private final SoakLedger mLedger;
@@ -167,21 +168,40 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Sends a heartbeat as another writer may, which names a newer server.
+     *
+     * @param ofAnotherService whether its service is wrong; otherwise its address is
+     */
+    void sendOddHeartbeat(boolean ofAnotherService) {
+        mLoop.execute(
+                () -> {
+                    String service = ofAnotherService ? "nosuch" : mService;
+                    String host = ofAnotherService ? HOST : "127.0.0.99";
+                    String body = heartbeat(service, host, 1, System.currentTimeMillis());
+                    send("/-/Instances.Heartbeat/" + mNode.name() + "-odd", body, () -> {});
+                });
+    }
+
     private void sendHeartbeat(long sequence, Runnable acknowledged) {
-        String body =
-                """
-                {"service":"%s","address":"127.0.0.1:%d","zone":"d","version":"v1","slots":%d,
-                 "state":"%s","coldRemaining":"0ms","sequence":%d,"born":%d}"""
-                        .formatted(
-                                mService,
-                                mListener.port(),
-                                SLOTS,
-                                mDraining ? "draining" : "ready",
-                                sequence,
-                                mBornMillis);
+        String body = heartbeat(mService, HOST, sequence, mBornMillis);
         send("/-/Instances.Heartbeat/" + id(), body, acknowledged);
     }
 
+    private String heartbeat(String service, String host, long sequence, long bornMillis) {
+        return """
+               {"service":"%s","address":"%s:%d","zone":"d","version":"v1","slots":%d,
+                "state":"%s","coldRemaining":"0ms","sequence":%d,"born":%d}"""
+                .formatted(
+                        service,
+                        host,
+                        mListener.port(),
+                        SLOTS,
+                        mDraining ? "draining" : "ready",
+                        sequence,
+                        bornMillis);
+    }
+
     private void send(String target, String body, Runnable acknowledged) {
         OutboundRequest r =
                 new OutboundRequest(
--- a/bench/src/test/java/io/azurestage/bench/soak/SoakTest.java
+++ b/bench/src/test/java/io/azurestage/bench/soak/SoakTest.java
@@ -15,6 +15,16 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
     void noRuleIsViolated(long seed) {
-        assertThat(new Soak(seed, NODES, LENGTH, REQUESTS_PER_SECOND).run().violations()).isEmpty();
+        assertViolatesNothing(new Soak(seed, NODES, LENGTH, REQUESTS_PER_SECOND, false));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {3, 4})
+    void noRuleIsViolatedWhileTheStoreHasFaults(long seed) {
+        assertViolatesNothing(new Soak(seed, NODES, LENGTH, REQUESTS_PER_SECOND, true));
+    }
+
+    private static void assertViolatesNothing(Soak soak) {
+        assertThat(soak.run().violations()).isEmpty();
     }
 }
--- a/core/src/main/java/io/azurestage/core/event/EventType.java
+++ b/core/src/main/java/io/azurestage/core/event/EventType.java
@@ -64,6 +64,7 @@
     LEAVES_LOADED(516, Severity.INFO, "the records of servers that have left were read"),
     LEAVE_REMEMBERED(
             517, Severity.WARNING, "a node uses a server whose leaving it had acknowledged"),
+    ENTRY_WRITTEN(518, Severity.INFO, "the store holds this node's entry"),
 
     CONFIG_ADOPTED(600, Severity.INFO, "a configuration version is in force"),
     CONFIG_REFUSED(601, Severity.ERROR, "a configuration was refused"),
--- a/relay/src/main/java/io/azurestage/relay/fleet/Announcer.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/Announcer.java
@@ -1,5 +1,6 @@
 package io.azurestage.relay.fleet;
 
+import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.backend.ServerEntry;
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
@@ -34,6 +35,7 @@
     private final String mKey;
     private final EventLog mEvents;
     private final RetryBackoff mBackoff = new RetryBackoff(new SplittableRandom());
+    private ServerEntry mEntry;
     private byte[] mDesired;
     private byte[] mWritten;
     private long mLeaseId;
@@ -72,6 +74,7 @@
      * @param entry this node's current entry
      */
     public void announce(ServerEntry entry) {
+        mEntry = entry;
         mDesired = EntryCodec.encode(entry);
         startNextRequest();
     }
@@ -112,8 +115,9 @@
         } else if (!isPublished()) {
             markInFlight();
             byte[] value = mDesired;
+            BackendServer server = mEntry.server();
             mStore.compareAndSwap(mKey, mRevision, value, mLeaseId)
-                    .thenAcceptAsync(r -> onEntryWritten(r, value), mLoop);
+                    .thenAcceptAsync(r -> onEntryWritten(r, value, server), mLoop);
         } else if (now - mLastRenewalNanos > RENEWAL_INTERVAL_NANOS) {
             markInFlight();
             mStore.keepAlive(mLeaseId).thenAcceptAsync(this::onLeaseRenewed, mLoop);
@@ -149,9 +153,16 @@
         }
     }
 
-    private void onEntryWritten(WriteResult r, byte[] value) {
+    private void onEntryWritten(WriteResult r, byte[] value, BackendServer server) {
         mRequestInFlight = false;
         if (r instanceof WriteResult.Applied a) {
+            mEvents.record(
+                    EventType.ENTRY_WRITTEN,
+                    Map.of(
+                            "server", server.serverId(),
+                            "startedAtMillis", Long.toString(server.startedAtMillis()),
+                            "state", server.state().name(),
+                            "revision", Long.toString(a.revision())));
             mBackoff.reset();
             mRevision = a.revision();
             mWritten = value;
