--- a/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
+++ b/core/src/main/java/io/azurestage/core/backend/BackendTracker.java
@@ -1,8 +1,8 @@
 package io.azurestage.core.backend;
 
+import io.azurestage.core.memory.BoundedMap;
 import io.azurestage.core.time.TimeSource;
 import java.time.Duration;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -24,10 +24,10 @@
     private final Duration mHeartbeatTimeout;
 
     /** Newest incarnation of each server that has deregistered. */
-    private final Map<String, Long> mLeftIncarnations = newIncarnations();
+    private final Map<String, Long> mLeftIncarnations = new BoundedMap<>(MAX_LEFT_SERVERS);
 
     /** Newest incarnation of each server that has announced that it leaves. */
-    private final Map<String, Long> mDrainedIncarnations = newIncarnations();
+    private final Map<String, Long> mDrainedIncarnations = new BoundedMap<>(MAX_LEFT_SERVERS);
 
     private BackendServer mServer;
     private long mSequence;
@@ -38,15 +38,6 @@
     /** Whether the server is gone because its heartbeats have stopped. */
     private boolean mSilent;
 
-    private static Map<String, Long> newIncarnations() {
-        return new LinkedHashMap<>() {
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-                return size() > MAX_LEFT_SERVERS;
-            }
-        };
-    }
-
     /**
      * Creates a tracker that knows no server.
      *
--- a/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecords.java
@@ -3,13 +3,13 @@
 import io.azurestage.core.backend.LeaveListener;
 import io.azurestage.core.event.EventLog;
 import io.azurestage.core.event.EventType;
+import io.azurestage.core.memory.BoundedMap;
 import io.azurestage.core.time.TimeSource;
 import io.azurestage.store.PlatformStore;
 import io.azurestage.store.ReadResult;
 import io.azurestage.store.Versioned;
 import io.netty.channel.EventLoop;
 import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -41,13 +41,7 @@
     private final PlatformStore mStore;
     private final EventLog mEvents;
     private final RetryBackoff mReadBackoff = new RetryBackoff(new SplittableRandom());
-    private final Map<String, LeaveRecord> mRecords =
-            new LinkedHashMap<>() {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, LeaveRecord> eldest) {
-                    return size() > MAX_SERVERS;
-                }
-            };
+    private final Map<String, LeaveRecord> mRecords = new BoundedMap<>(MAX_SERVERS);
 
     /**
      * Creates an accessor for the records.
--- a/relay/src/main/java/io/azurestage/relay/fleet/RememberedLeaves.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/RememberedLeaves.java
@@ -3,8 +3,8 @@
 import io.azurestage.core.backend.BackendServer;
 import io.azurestage.core.backend.BackendState;
 import io.azurestage.core.backend.ServerEntry;
+import io.azurestage.core.memory.BoundedMap;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalLong;
 
@@ -15,22 +15,13 @@
  * only. Not thread-safe.
  */
 final class RememberedLeaves {
-    /** Nodes whose entries are remembered, those that have changed last. */
+    /** Nodes to remember servers for. */
     private static final int MAX_NODES = 4_096;
 
     /** Servers to remember beside a node. */
     private static final int MAX_SERVERS = 16;
 
-    private final Map<String, Map<String, Long>> mLeftByKey = bounded(MAX_NODES);
-
-    private static <T> Map<String, T> bounded(int max) {
-        return new LinkedHashMap<>() {
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<String, T> eldest) {
-                return size() > max;
-            }
-        };
-    }
+    private final Map<String, Map<String, Long>> mLeftByKey = new BoundedMap<>(MAX_NODES);
 
     /** Remembers what the entry at a key names. */
     void add(String key, ServerEntry entry) {
@@ -39,7 +30,8 @@
             left.put(entry.server().serverId(), entry.server().startedAtMillis());
         }
         if (!left.isEmpty()) {
-            Map<String, Long> known = mLeftByKey.computeIfAbsent(key, k -> bounded(MAX_SERVERS));
+            Map<String, Long> known =
+                    mLeftByKey.computeIfAbsent(key, k -> new BoundedMap<>(MAX_SERVERS));
             left.forEach((id, startedAtMillis) -> known.merge(id, startedAtMillis, Math::max));
         }
     }
