Announce a version again if the link was silent

A version that was announced over a link which had fallen silent was lost: links without calls are not opened again when a probe finds them silent, so a peer whose connections to the store were silent as well did not learn of it over the link.

Test that failed before: LinkTest.LostConnection .versionIsAnnouncedAgainOverANewConnection.

--- a/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
@@ -76,6 +76,10 @@
     private Channel mChannel;
     private boolean mConnecting;
     private boolean mUp;
+
+    /** Whether the peer may not know yet which configuration is in force here. */
+    private boolean mAnnouncing;
+
     private boolean mClosed;
     private long mPeerIncarnation;
     private long mLastReceivedNanos;
@@ -154,9 +158,13 @@
         }
     }
 
-    /** Tells the peer which configuration is in force here; the first message does so as well. */
+    /**
+     * Tells the peer which configuration is in force here; the first message does so as well. If
+     * the connection turns out to be silent, the peer is told over a new one.
+     */
     public void announceVersion() {
         if (isUp()) {
+            mAnnouncing = true;
             write(mExchange.newProbe());
         } else {
             connect();
@@ -355,7 +363,8 @@
     }
 
     private void connectIfNeeded() {
-        if (!mCalls.isEmpty()) {
+        if (!mCalls.isEmpty() || mAnnouncing) {
+            mAnnouncing = false;
             connect();
         }
     }
@@ -432,6 +441,9 @@
 
     private void onMessage(LinkMessage m) {
         mLastReceivedNanos = mTime.nanos();
+        if (m.hasProbeReply()) {
+            mAnnouncing = false;
+        }
         if (mExchange.accept(m)) {
             return;
         }
--- a/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
@@ -42,6 +42,7 @@
     private final AtomicLong mClientConfigVersion = new AtomicLong();
     private final CompletableFuture<byte[]> mFetchedDocument = new CompletableFuture<>();
     private final Map<String, Long> mRememberedLeaves = new ConcurrentHashMap<>();
+    private final AtomicInteger mFetches = new AtomicInteger();
     private LinkServer mServer;
     private boolean mHoldCalls;
 
@@ -85,7 +86,10 @@
                         new NodeIdentity("entry", 5),
                         mCallIds::incrementAndGet,
                         mClientConfigVersion::get,
-                        Optional::empty,
+                        () -> {
+                            mFetches.incrementAndGet();
+                            return Optional.empty();
+                        },
                         mFetchedDocument::complete,
                         QuotaPeer.NONE,
                         (server, started) -> {});
@@ -181,6 +185,20 @@
     class LostConnection {
         private FaultProxy mProxy;
 
+        // Guards against a node that is not told of a version since the link to it has fallen
+        // silent while no call used it.
+        @Test
+        void versionIsAnnouncedAgainOverANewConnection() throws Exception {
+            LinkClient c = client(mProxy.port());
+            mLoop.run(c::connect);
+            Loop.await("the link is up", c::isUp);
+            mProxy.discardRequests();
+            mClientConfigVersion.set(9);
+            mLoop.run(c::announceVersion);
+            mLoop.loop().scheduleAtFixedRate(c::tick, 100, 100, TimeUnit.MILLISECONDS);
+            Loop.await("the peer fetches the version", () -> mFetches.get() > 0);
+        }
+
         @BeforeEach
         void openProxy() throws Exception {
             mHoldCalls = true;
