Open new connections to the store after one was silent

If all connections to the store fall silent at once, the watch that is checked found that out in time, but the listing that follows took the connection of the last lease renewal, which was silent too, and waited for another timeout: 3.7 s in the test, where 3 s are allowed.

--- a/relay/src/main/java/io/azurestage/relay/http/HttpPool.java
+++ b/relay/src/main/java/io/azurestage/relay/http/HttpPool.java
@@ -99,6 +99,12 @@
         return call;
     }
 
+    /** Closes the idle connections, so that the next request opens a new one. */
+    public void closeIdle() {
+        mIdle.forEach(OutboundConnection::close);
+        mIdle.clear();
+    }
+
     /** Closes all connections; requests in progress end without a response. */
     public void close() {
         mClosed = true;
