Do not tell a node over a link to itself that its server has left

When the store comes back from a copy that names the leaving server of a node as ready, the node saw its own earlier entry as wrong and opened a link to itself. It knows of the leave and writes its entry again anyway.

Test that failed before: FleetDirectoryTest.RestartedOwners .nodeDoesNotTellItself.

--- a/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
@@ -218,7 +218,9 @@
                         "node", entry.node().nodeId(),
                         "server", entry.server().serverId(),
                         "startedAtMillis", Long.toString(left.getAsLong())));
-        mWronglyUsed.put(entry.linkAddress(), entry.server());
+        if (!key.equals(mOwnKey)) {
+            mWronglyUsed.put(entry.linkAddress(), entry.server());
+        }
         mTable.put(key, entry.withServerState(BackendState.GONE));
     }
 
--- a/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
@@ -23,6 +23,7 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,6 +42,7 @@
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final CallTarget mOwnTarget = (spec, listener) -> () -> {};
     private final AtomicInteger mOwnEntryMissing = new AtomicInteger();
+    private final Set<String> mLinked = new HashSet<>();
     private final Loop mLoop = new Loop();
     private final FleetDirectory mDirectory =
             new FleetDirectory(
@@ -59,6 +61,7 @@
     }
 
     private LinkClient link(String address) {
+        mLinked.add(address);
         LinkSelf self =
                 new LinkSelf(
                         new NodeIdentity("n", 1),
@@ -292,6 +295,28 @@
             assertThat(isRoutable()).isTrue();
         }
 
+        @Test
+        void nodeIsToldThatItsServerHasLeft() {
+            mDirectory.put(entry(1, BackendState.DRAINING, Map.of()));
+            assertNotUsed();
+            for (int i = 0; i < 5; i++) {
+                mDirectory.tick();
+            }
+            assertThat(mLinked).containsExactly(LINK);
+        }
+
+        // Guards against a node that opens a link to itself when an older copy of the store names
+        // its leaving server as ready.
+        @Test
+        void nodeDoesNotTellItself() {
+            mDirectory.put(ownEntry(1, 5, BackendState.DRAINING));
+            mDirectory.put(ownEntry(1, 5, BackendState.READY));
+            for (int i = 0; i < 5; i++) {
+                mDirectory.tick();
+            }
+            assertThat(mLinked).isEmpty();
+        }
+
         // A server that was only silent may be in use again.
         @Test
         void serverThatWasGoneWithoutLeavingIsUsed() {
