Write the entry of a node at once after a reset of the store

Seen in a soak: after the store had come back from a copy, other nodes used an older entry of the copy, with a server that had been replaced, until its node renewed its lease and found it lapsed, up to 1.5 s later; requests were refused as not run meanwhile.

The announcer takes a new lease and writes the entry when it is told of the reset, before others have listed the keys again.

--- a/relay/src/main/java/io/azurestage/relay/fleet/Announcer.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/Announcer.java
@@ -66,6 +66,15 @@
         mKey = key;
         mEvents = events;
         mNextAttemptNanos = time.nanos();
+        store.onReset(r -> loop.execute(this::writeAgain));
+    }
+
+    /** Takes a new lease and writes the entry again, whatever the store still holds. */
+    private void writeAgain() {
+        mLeaseLapsed = true;
+        mWritten = null;
+        mRevisionKnown = false;
+        startNextRequest();
     }
 
     /**
@@ -187,10 +196,7 @@
             mLastRenewalNanos = mTime.nanos();
         } else if (r instanceof LeaseResult.Lapsed) {
             mEvents.record(EventType.ENTRY_LAPSED, Map.of("key", mKey));
-            mLeaseLapsed = true;
-            mWritten = null;
-            mRevisionKnown = false;
-            startNextRequest();
+            writeAgain();
         } else {
             delayRetry();
         }
