--- a/bench/src/main/java/io/azurestage/bench/BenchMain.java
+++ b/bench/src/main/java/io/azurestage/bench/BenchMain.java
@@ -97,7 +97,7 @@
                 .addOption(
                         Option.builder()
                                 .longOpt("store-faults")
-                                .desc("soak: the store comes back from copies or falls silent")
+                                .desc("soak: the store loses writes and connections to it")
                                 .get())
                 .addOption(
                         Option.builder().longOpt("json").desc("print only the JSON result").get());
--- a/bench/src/main/java/io/azurestage/bench/cost/CostStore.java
+++ b/bench/src/main/java/io/azurestage/bench/cost/CostStore.java
@@ -28,7 +28,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * In-memory stand-in of the platform store. Leases never expire. It may come back from an older
+ * In-memory stand-in of the platform store. Leases never expire. It may be restored from an older
  * copy, and idle connections may fall silent; otherwise it has no faults. Its state is confined to
  * its event loop.
  */
@@ -51,7 +51,7 @@
         }
     }
 
-    /** What the store comes back with. */
+    /** State that {@link #restoreCopy} restores. */
     private record Copy(Map<String, Item> items, int changes, long revision) {}
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -101,7 +101,7 @@
         set(key, Base64.getEncoder().encodeToString(bytes), 0);
     }
 
-    /** Takes the copy that {@link #comeBack} restores. Call it on the event loop. */
+    /** Takes the copy that {@link #restoreCopy} restores. Call it on the event loop. */
     public void takeCopy() {
         mCopy = new Copy(Map.copyOf(mItems), mChanges.size(), mRevision);
     }
@@ -116,7 +116,7 @@
      * Answers again, with what the copy has: what was written since is lost, and its revisions are
      * given out again. Call it on the event loop.
      */
-    public void comeBack() {
+    public void restoreCopy() {
         mItems.clear();
         mItems.putAll(mCopy.items);
         mChanges.subList(mCopy.changes, mChanges.size()).clear();
--- a/bench/src/main/java/io/azurestage/bench/soak/Soak.java
+++ b/bench/src/main/java/io/azurestage/bench/soak/Soak.java
@@ -75,7 +75,7 @@
         CONFIG,
         LIMIT,
         REPLACE,
-        /** The store comes back from an older copy. */
+        /** The store is restored from an older copy. */
         DRILL,
         /** Idle connections to the store fall silent. */
         SILENCE,
@@ -346,7 +346,7 @@
         mLoop.schedule(mStore::leave, leave, TimeUnit.MILLISECONDS);
         mLoop.schedule(
                 () -> {
-                    mStore.comeBack();
+                    mStore.restoreCopy();
                     mStore.put("op/config", mConfig);
                     mDrill = false;
                 },
--- a/core/src/main/java/io/azurestage/core/event/EventType.java
+++ b/core/src/main/java/io/azurestage/core/event/EventType.java
@@ -73,7 +73,7 @@
     STORE_BEHIND(604, Severity.ERROR, "the key-value service holds a lower version than this node"),
     STORE_RESTORED(605, Severity.INFO, "a higher version was written back to the store"),
     CONFIG_CONFLICT(606, Severity.ERROR, "two documents have the same version number"),
-    STORE_RESET(607, Severity.WARNING, "the key-value service came back from an older copy");
+    STORE_RESET(607, Severity.WARNING, "the key-value service was restored from an older copy");
 
     private final int mNumber;
     private final Severity mSeverity;
--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -376,7 +376,7 @@
                 mConfigFeed::version);
         mMetrics.gauge(
                 "azurestage_store_era",
-                "era of the store's data after its last return from a copy, 0 before one",
+                "era of the store's data after it was last restored from a copy, 0 before",
                 () -> mStoreEra);
         mMetrics.gauge(
                 "azurestage_ready", "1 if callers may send new work", () -> isReady() ? 1 : 0);
--- a/relay/src/main/java/io/azurestage/relay/fleet/ConfigSpread.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/ConfigSpread.java
@@ -15,10 +15,10 @@
 import java.util.function.LongSupplier;
 
 /**
- * Lets all nodes learn of a new configuration although connections to the store have fallen silent,
- * without frequent calls of each. A few designated nodes check their watches often, and tell the
- * others of a version that they have read; a node that learns of a version in this way tells a few
- * more. Confined to the event loop.
+ * Distributes a new configuration to all nodes although connections to the store have fallen
+ * silent, without frequent calls of each. A few designated nodes check their watches often, and
+ * announce a version that they have read to the others; a node that has received a version
+ * announces it to a few more. Confined to the event loop.
  */
 public final class ConfigSpread {
     /** Nodes that check their watches often: two may be lost at the same time. */
@@ -26,7 +26,7 @@
 
     /**
      * With the time until a call counts as lost, another listing and the delay below, the others
-     * learn of a version within 3 s after the connections have fallen silent.
+     * receive a version within 3 s after the connections have fallen silent.
      */
     static final Duration CHECK_INTERVAL = Duration.ofMillis(1_500);
 
@@ -34,12 +34,12 @@
     private static final Duration UNCHECKED = Duration.ofMinutes(1);
 
     /** Nodes whose watches work have read the version by then, and need not fetch it. */
-    private static final long TELL_DELAY_MILLIS = 250;
+    private static final long ANNOUNCEMENT_DELAY_MILLIS = 250;
 
-    /** Nodes that a designated node tells; all of them in most fleets. */
+    /** Nodes to which a designated node announces a version; all of them in most fleets. */
     private static final int DESIGNATED_FAN_OUT = 64;
 
-    /** Nodes that another node tells: hardly one of 1,400 is left out after four rounds. */
+    /** Nodes to which another node does: hardly one of 1,400 is left out after four rounds. */
     private static final int FAN_OUT = 8;
 
     /** Time after which a watch that has not reported a version that is in the store is silent. */
@@ -62,7 +62,7 @@
      * @param prefix prefix of the configuration's key
      * @param ownAddress link address of this node
      * @param links returns the link to the node at an address
-     * @param random chooses the nodes to tell
+     * @param random chooses the nodes for announcements
      */
     public ConfigSpread(
             EventLoop loop,
@@ -102,7 +102,9 @@
     void onRead() {
         if (mDesignated) {
             mLoop.schedule(
-                    () -> tell(DESIGNATED_FAN_OUT), TELL_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                    () -> announce(DESIGNATED_FAN_OUT),
+                    ANNOUNCEMENT_DELAY_MILLIS,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
@@ -114,7 +116,7 @@
      * @param onSilent runs if the watch of this node does not report the version soon
      */
     void onReceived(long version, LongSupplier read, Runnable onSilent) {
-        tell(FAN_OUT);
+        announce(FAN_OUT);
         mLoop.schedule(
                 () -> {
                     if (read.getAsLong() < version) {
@@ -125,8 +127,8 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    /** Tells nodes of the version in force; those that have an older one fetch it. */
-    private void tell(int count) {
+    /** Announces the version in force; nodes that have an older one fetch it. */
+    private void announce(int count) {
         List<String> nodes = mOthers;
         if (nodes.size() > count) {
             nodes = new ArrayList<>(nodes);
--- a/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/FleetDirectory.java
@@ -33,7 +33,7 @@
     /** Constant, because the id of an endpoint already contains the incarnations. */
     private static final long FIXED_INCARNATION = 0;
 
-    /** How often a node is told that its server has left, until its entry says so. */
+    /** How often a node is notified that its server has left, until its entry states it. */
     private static final int TICKS_PER_REMINDER = 3;
 
     private final ServerEntryTable mTable;
--- a/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecord.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/LeaveRecord.java
@@ -92,7 +92,7 @@
         }
     }
 
-    /** Writes the record again: the store has come back from a copy that may not have it. */
+    /** Writes the record again: the store was restored from a copy that may not have it. */
     void rewrite() {
         mStored = Long.MIN_VALUE;
         mRevision = PlatformStore.ABSENT;
--- a/relay/src/main/java/io/azurestage/relay/fleet/PrefixFeed.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/PrefixFeed.java
@@ -15,7 +15,7 @@
 
 /**
  * Watches all keys with a prefix: lists them, subscribes to changes, and lists them again after the
- * watch has failed or the store has come back from an older copy. Not thread-safe; use it on the
+ * watch has failed or the store was restored from an older copy. Not thread-safe; use it on the
  * event loop only.
  */
 public final class PrefixFeed {
--- a/relay/src/main/java/io/azurestage/relay/fleet/RememberedLeaves.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/RememberedLeaves.java
@@ -10,7 +10,7 @@
 
 /**
  * The servers whose leaving other nodes have acknowledged, as their entries named them. When the
- * store comes back from an older copy it may have lost the record of a leave, and the node that
+ * store is restored from an older copy it may have lost the record of a leave, and the node that
  * acknowledged it may restart; the others still know. What an entry names counts for its own key
  * only. Not thread-safe.
  */
--- a/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
+++ b/relay/src/main/java/io/azurestage/relay/link/LinkClient.java
@@ -159,8 +159,8 @@
     }
 
     /**
-     * Tells the peer which configuration is in force here; the first message does so as well. If
-     * the connection turns out to be silent, the peer is told over a new one.
+     * Announces to the peer which configuration is in force here, as the first message does. If the
+     * connection turns out to be silent, the announcement is repeated over a new one.
      */
     public void announceVersion() {
         if (isUp()) {
@@ -172,8 +172,8 @@
     }
 
     /**
-     * Tells the peer that an earlier process of it has acknowledged that a server leaves. Without a
-     * connection one is opened, and the caller is to repeat this.
+     * Notifies the peer that an earlier process of it has acknowledged that a server leaves.
+     * Without a connection one is opened, and the caller is to repeat this.
      *
      * @param serverId id of the server
      * @param startedAtMillis start time of its incarnation, epoch milliseconds
--- a/relay/src/test/java/io/azurestage/relay/StoreResetTest.java
+++ b/relay/src/test/java/io/azurestage/relay/StoreResetTest.java
@@ -4,7 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/** The store comes back from an older copy while nodes are running. */
+/** The store is restored from an older copy while nodes are running. */
 class StoreResetTest extends RelayScenario {
     private static final String NODES = "azurestage/nodes/";
 
--- a/relay/src/test/java/io/azurestage/relay/fleet/CallRecordsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/CallRecordsTest.java
@@ -65,7 +65,7 @@
         Loop.await("the record is read", () -> mLoaded.contains("status"));
     }
 
-    // Guards against records that are lost for good when the store comes back from an older copy.
+    // Guards against records that are lost for good when the store is restored from an older copy.
     @Test
     void recordLostInAResetIsWrittenAgain() throws Exception {
         CallRecords writer = newRecords();
--- a/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/FleetDirectoryTest.java
@@ -296,7 +296,7 @@
         }
 
         @Test
-        void nodeIsToldThatItsServerHasLeft() {
+        void nodeIsNotifiedThatItsServerHasLeft() {
             mDirectory.put(entry(1, BackendState.DRAINING, Map.of()));
             assertNotUsed();
             for (int i = 0; i < 5; i++) {
@@ -308,7 +308,7 @@
         // Guards against a node that opens a link to itself when an older copy of the store names
         // its leaving server as ready.
         @Test
-        void nodeDoesNotTellItself() {
+        void nodeDoesNotNotifyItself() {
             mDirectory.put(ownEntry(1, 5, BackendState.DRAINING));
             mDirectory.put(ownEntry(1, 5, BackendState.READY));
             for (int i = 0; i < 5; i++) {
--- a/relay/src/test/java/io/azurestage/relay/fleet/LeaveRecordsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/LeaveRecordsTest.java
@@ -134,7 +134,7 @@
 
     @Nested
     class Resets {
-        // Guards against a record that is missing for good after the store came back from a copy
+        // Guards against a record that is missing for good after the store was restored from a copy
         // without it: the restarted node used a server that had left.
         @Test
         void recordLostInAResetIsWrittenAgain() throws Exception {
--- a/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
+++ b/relay/src/test/java/io/azurestage/relay/link/LinkTest.java
@@ -185,7 +185,7 @@
     class LostConnection {
         private FaultProxy mProxy;
 
-        // Guards against a node that is not told of a version since the link to it has fallen
+        // Guards against a node that does not receive a version since the link to it has fallen
         // silent while no call used it.
         @Test
         void versionIsAnnouncedAgainOverANewConnection() throws Exception {
--- a/store/src/main/java/io/azurestage/store/PlatformStore.java
+++ b/store/src/main/java/io/azurestage/store/PlatformStore.java
@@ -74,10 +74,10 @@
     default void checkWatches(String prefix, Duration interval) {}
 
     /**
-     * Adds a listener that is called after the service has come back from an older copy of its
-     * data. At that moment all watches have ended, without a further event. Leases that were
-     * granted before count as lapsed, and revisions that were read before must not be used again.
-     * Services that cannot lose data never call it.
+     * Adds a listener that is called after the service was restored from an older copy of its data.
+     * At that moment all watches have ended, without a further event. Leases that were granted
+     * before count as lapsed, and revisions that were read before must not be used again. Services
+     * that cannot lose data never call it.
      *
      * @param listener receives each reset, on the thread of the client's results
      */
--- a/store/src/main/java/io/azurestage/store/StoreReset.java
+++ b/store/src/main/java/io/azurestage/store/StoreReset.java
@@ -1,7 +1,7 @@
 package io.azurestage.store;
 
 /**
- * Reports that the service has come back from an older copy of its data. What was written after the
+ * Reports that the service was restored from an older copy of its data. What was written after the
  * copy is lost, leases too, and revisions and lease ids are given out again.
  *
  * @param previousEra number of the service's data before, as the service states it
