--- a/relay/src/main/java/io/azurestage/relay/fleet/ConfigSpread.java
+++ b/relay/src/main/java/io/azurestage/relay/fleet/ConfigSpread.java
@@ -36,10 +36,10 @@
     /** Nodes whose watches work have read the version by then, and need not fetch it. */
     private static final long ANNOUNCEMENT_DELAY_MILLIS = 250;
 
-    /** Nodes to which a designated node announces a version; all of them in most fleets. */
+    /** Nodes to which a designated node announces a version. */
     private static final int DESIGNATED_FAN_OUT = 64;
 
-    /** Nodes to which another node does: hardly one of 1,400 is left out after four rounds. */
+    /** Nodes to which another node that has received a version announces it. */
     private static final int FAN_OUT = 8;
 
     /** Time after which a watch that has not reported a version that is in the store is silent. */
