Keep connections between nodes open when many callers give up

What callers saw: 502 "the connection to service s failed", execution unknown, for requests that had nothing to do with those given up.

Cause: Jetty's HTTP/2 server closes a connection that sends more than 128 resets or nearly empty frames a second. A node resets a stream for each call that its caller gave up or whose deadline passed, so a surge of those, the usual thing in overload, ended the connection from node to node with all other calls on it.

Ruled out: the cap on connections, which closed no HTTP/2 connection in these runs.

Why it works: the limit guards against outside clients and still holds for them. It is lifted from an HTTP/2 connection once a call with a verified context has arrived on it, which only nodes can send.

--- a/node/src/main/java/io/azurestage/node/DisconnectAwareEndPoint.java
+++ b/node/src/main/java/io/azurestage/node/DisconnectAwareEndPoint.java
@@ -28,6 +28,7 @@
     private Runnable mOnDisconnect = () -> {};
     private boolean mWatching;
     private boolean mInputEnded;
+    private volatile boolean mOfNode;
 
     DisconnectAwareEndPoint(
             SocketChannel channel,
@@ -37,6 +38,16 @@
         super(channel, selector, key, scheduler);
     }
 
+    /** Notes that another node has opened this connection. */
+    void markOfNode() {
+        mOfNode = true;
+    }
+
+    /** Reports whether a call of another node has arrived over this connection. */
+    boolean isOfNode() {
+        return mOfNode;
+    }
+
     /**
      * Watches for a disconnect until the next bytes arrive.
      *
--- a/node/src/main/java/io/azurestage/node/HttpServers.java
+++ b/node/src/main/java/io/azurestage/node/HttpServers.java
@@ -43,6 +43,7 @@
         httpConfig.setUriCompliance(UriCompliance.RFC3986);
         HttpConnectionFactory http1 = new BoundedHttpConnectionFactory(httpConfig, bounds.memory());
         HTTP2CServerConnectionFactory h2c = new HTTP2CServerConnectionFactory(httpConfig);
+        h2c.setRateControlFactory(new NodeRateControl());
         h2c.setMaxConcurrentStreams(MAX_STREAMS_PER_CONNECTION);
         ServerConnector c =
                 http2
--- a/node/src/main/java/io/azurestage/node/PeerCallHandler.java
+++ b/node/src/main/java/io/azurestage/node/PeerCallHandler.java
@@ -31,6 +31,7 @@
     void handle(Request request, Response response, Callback callback) {
         ContextResult result = mNode.contexts().decode(request.getHeaders().get(Headers.CONTEXT));
         if (result instanceof ContextResult.Valid valid) {
+            mNode.bounds().lift(request);
             accept(valid.context(), request, response, callback);
         } else {
             refuseContext(result, response, callback);
--- a/node/src/test/java/io/azurestage/node/CancellationTest.java
+++ b/node/src/test/java/io/azurestage/node/CancellationTest.java
@@ -18,6 +18,12 @@
 class CancellationTest {
     private static final int SLOTS = 8;
 
+    /** Calls that wait for a slot together. */
+    private static final int QUEUED = 8;
+
+    /** Rounds of such calls, more than a client may give up in a second on one connection. */
+    private static final int ROUNDS = 100;
+
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final Gate mGate = new Gate((q, s, c) -> FakeBackend.reply(s, c, 200, "late"));
     private TestMesh mMesh;
@@ -65,6 +71,40 @@
         assertThat(answer).isCompletedExceptionally();
     }
 
+    // Guards against closing a connection between nodes, with all calls on it, because many callers
+    // gave up within a second.
+    @Test
+    void callersThatGiveUpAtOnceLeaveOtherCallsAlone() throws Exception {
+        mMesh.backend(0).behaviour(mGate);
+        List<CompletableFuture<ContentResponse>> patient = new ArrayList<>();
+        for (int i = 0; i < SLOTS; i++) {
+            patient.add(
+                    TestMesh.start(
+                            withLongDeadline(mMesh.request(mMesh.node(1), "GET", "/bookings/1"))));
+        }
+        mGate.awaitEntered(SLOTS);
+        for (int i = 0; i < ROUNDS; i++) {
+            giveUpTogether();
+        }
+        mGate.open();
+        for (CompletableFuture<ContentResponse> answer : patient) {
+            assertThat(TestMesh.get(answer).getContentAsString()).isEqualTo("late");
+        }
+    }
+
+    /** Sends calls that stay queued, and gives them all up. */
+    private void giveUpTogether() throws Exception {
+        List<Request> calls = new ArrayList<>();
+        for (int i = 0; i < QUEUED; i++) {
+            Request r = withLongDeadline(mMesh.request(mMesh.node(1), "GET", "/bookings/1"));
+            calls.add(r);
+            TestMesh.start(r);
+        }
+        awaitQueued(QUEUED);
+        calls.forEach(r -> r.abort(new IOException("the caller goes away")));
+        awaitQueued(0);
+    }
+
     // Guards against sub-calls that run until their deadline after their parent has failed.
     @Test
     void aBackendServerThatBreaksOffFreesWhatItCalled() throws Exception {
