Exclude connections of other nodes from the cap on clients

What callers saw: a node whose clients had all connections that the cap allows was out of reach for the other nodes; their calls to its server failed.

Cause: a node's connection to another counted among those of the other's clients. With all of them in use the new one was closed at once, and one with an incomplete body was closed with all calls on it to make room for a client. DescriptorLimit sets half of the descriptors aside for connections to backend servers and other nodes, so they were counted twice.

Why it works: an HTTP/2 connection leaves the cap with the first call on it whose context is verified, at the place that lifts the limit on resets.

--- a/node/src/main/java/io/azurestage/node/ClientBounds.java
+++ b/node/src/main/java/io/azurestage/node/ClientBounds.java
@@ -27,6 +27,7 @@
                 && meta.getConnection().getEndPoint() instanceof DisconnectAwareEndPoint e
                 && !e.isOfNode()) {
             e.markOfNode();
+            connections.exclude(meta.getConnection());
         }
     }
 
--- a/node/src/main/java/io/azurestage/node/ConnectionCap.java
+++ b/node/src/main/java/io/azurestage/node/ConnectionCap.java
@@ -58,6 +58,12 @@
         mIncomplete.remove(connection);
     }
 
+    /** Excludes a connection of another node, which takes no descriptors of clients. */
+    synchronized void exclude(Connection ofNode) {
+        mConnections.remove(ofNode);
+        mIncomplete.remove(ofNode);
+    }
+
     /** Notes that the body of a request is incomplete. */
     synchronized void bodyStarted(Request request) {
         Connection c = request.getConnectionMetaData().getConnection();
--- a/node/src/test/java/io/azurestage/node/TestMesh.java
+++ b/node/src/test/java/io/azurestage/node/TestMesh.java
@@ -45,6 +45,11 @@
         default HostPort address(String nodeId, HostPort real) throws Exception {
             return real;
         }
+
+        /** Returns the bounds of the clients of a node. */
+        default ClientBounds bounds(String nodeId) {
+            return TestMesh.bounds();
+        }
     }
 
     TestMesh(TimeSource time, int retryAllowance) throws Exception {
@@ -94,7 +99,7 @@
                         settings(id, service, backend.address()),
                         mEnvironment.time(id),
                         e -> {},
-                        bounds());
+                        mEnvironment.bounds(id));
         backend.egress(node.egress());
         mBackends.add(backend);
         mNodes.add(node);
