Refuse a request on one connection too many instead of closing it

What callers saw: while all connections that the cap allows had complete requests, for as long as those ran, a new caller's connection was closed without an answer: 4 s and more of closed connections in the clients' test with 100 slow requests and a cap of 100.

Cause: with no connection idle or incomplete, the cap closed the new one.

Evidence: a trial that logged each connection that the cap closed: in the runs of OwnNodeClientsTest.bodiesBehindLongRequests that were slow, 8 or 9 new ones in a row, and at the same times ordinary requests without answers.

Why it works: a sixteenth more connections than the cap are accepted when all are in use, and their requests are refused, not run, with Retry-After. If more connections than the cap have requests, the oldest incomplete one gives way, as it does for a new connection.

--- a/node/src/main/java/io/azurestage/node/ConnectionCap.java
+++ b/node/src/main/java/io/azurestage/node/ConnectionCap.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.IdleTimeout;
@@ -10,58 +11,95 @@
 /**
  * Bounds the number of connections at all listeners of a node. One too many ends the connection
  * that is least in use: the one that has been without a request for longest, else the oldest whose
- * request is incomplete, else the new one. Thread-safe.
+ * request is incomplete. If the requests of all are complete, some more connections are accepted,
+ * so that their requests can be refused. Thread-safe.
  */
 final class ConnectionCap implements Connection.Listener {
+    /** Number of connections for each that is accepted beyond the limit. */
+    private static final int CONNECTIONS_PER_EXTRA = 16;
+
     private final int mMaxConnections;
+    private final int mMaxWithExtra;
     private final Set<Connection> mConnections = new LinkedHashSet<>();
     private final Set<Connection> mIncomplete = new LinkedHashSet<>();
 
+    /**
+     * Creates a cap.
+     *
+     * @param maxConnections largest number of connections whose requests are handled
+     */
     ConnectionCap(int maxConnections) {
         mMaxConnections = maxConnections;
+        mMaxWithExtra = maxConnections + Math.max(1, maxConnections / CONNECTIONS_PER_EXTRA);
     }
 
     @Override
     public void onOpened(Connection connection) {
-        Connection least = null;
+        Optional<Connection> least = Optional.empty();
         synchronized (this) {
             mConnections.add(connection);
             if (mConnections.size() > mMaxConnections) {
                 least = leastInUse(connection);
-                mConnections.remove(least);
-                mIncomplete.remove(least);
+                least.ifPresent(this::exclude);
             }
         }
-        if (least != null) {
-            least.close();
-        }
+        least.ifPresent(Connection::close);
     }
 
-    private Connection leastInUse(Connection added) {
+    /** Returns the connection to close for a new one, or none if there is room for a refusal. */
+    private Optional<Connection> leastInUse(Connection added) {
         return mConnections.stream()
                 .filter(c -> isIdle(c) && c != added)
                 .max(Comparator.comparingLong(ConnectionCap::idleMillis))
-                .orElseGet(() -> mIncomplete.stream().findFirst().orElse(added));
+                .or(() -> mIncomplete.stream().findFirst())
+                .or(
+                        () ->
+                                mConnections.size() > mMaxWithExtra
+                                        ? Optional.of(added)
+                                        : Optional.empty());
     }
 
     private static boolean isIdle(Connection c) {
         return c.getMessagesIn() == c.getMessagesOut();
     }
 
+    /**
+     * Makes room for a request that has arrived on a connection. If too many connections are in
+     * use, the oldest other one whose request is incomplete is closed.
+     *
+     * @return false if too many connections have complete requests, so this one has to be refused
+     */
+    boolean makeRoom(Request request) {
+        Connection own = request.getConnectionMetaData().getConnection();
+        Optional<Connection> oldest;
+        synchronized (this) {
+            if (mConnections.size() <= mMaxConnections || connectionsInUse() <= mMaxConnections) {
+                return true;
+            }
+            oldest = mIncomplete.stream().filter(c -> c != own).findFirst();
+            oldest.ifPresent(this::exclude);
+        }
+        oldest.ifPresent(Connection::close);
+        return oldest.isPresent();
+    }
+
+    private long connectionsInUse() {
+        return mConnections.stream().filter(c -> !isIdle(c)).count();
+    }
+
     private static long idleMillis(Connection c) {
         return c.getEndPoint() instanceof IdleTimeout e ? e.getIdleFor() : 0;
     }
 
     @Override
     public synchronized void onClosed(Connection connection) {
-        mConnections.remove(connection);
-        mIncomplete.remove(connection);
+        exclude(connection);
     }
 
-    /** Excludes a connection of another node, which takes no descriptors of clients. */
-    synchronized void exclude(Connection ofNode) {
-        mConnections.remove(ofNode);
-        mIncomplete.remove(ofNode);
+    /** Stops counting a connection, for instance of another node. */
+    synchronized void exclude(Connection connection) {
+        mConnections.remove(connection);
+        mIncomplete.remove(connection);
     }
 
     /** Notes that the body of a request is incomplete. */
--- a/node/src/main/java/io/azurestage/node/EgressHandler.java
+++ b/node/src/main/java/io/azurestage/node/EgressHandler.java
@@ -39,9 +39,11 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-        if (mNode.lifecycle() == Lifecycle.JOINING) {
+        Optional<Refusal> early = early(request);
+        if (early.isPresent()) {
             RequestId id = RequestId.random(ThreadLocalRandom.current());
-            Replies.refuse(mNode, id, response, callback, Replies.notReady());
+            Refusal r = EntryHandler.withRepeatUncertainty(request, early.get());
+            Replies.refuse(mNode, id, response, callback, r);
             return true;
         }
         String header = request.getHeaders().get(Headers.CONTEXT);
@@ -62,6 +64,16 @@
         return true;
     }
 
+    /** Returns a refusal for which the request need not be read. */
+    private Optional<Refusal> early(Request request) {
+        if (mNode.lifecycle() == Lifecycle.JOINING) {
+            return Optional.of(Replies.notReady());
+        }
+        return mNode.bounds().connections().makeRoom(request)
+                ? Optional.empty()
+                : Optional.of(Replies.tooManyConnections());
+    }
+
     private void refuseContext(ContextResult result, Response response, Callback callback) {
         boolean ended = result instanceof ContextResult.Valid;
         String reason = ended ? "Ended" : result.getClass().getSimpleName();
--- a/node/src/main/java/io/azurestage/node/IngressHandler.java
+++ b/node/src/main/java/io/azurestage/node/IngressHandler.java
@@ -37,6 +37,9 @@
         } else if (mNode.lifecycle() == Lifecycle.JOINING) {
             Refusal r = EntryHandler.withRepeatUncertainty(request, Replies.notReady());
             Replies.refuse(mNode, id, response, callback, r);
+        } else if (!mNode.bounds().connections().makeRoom(request)) {
+            Refusal r = EntryHandler.withRepeatUncertainty(request, Replies.tooManyConnections());
+            Replies.refuse(mNode, id, response, callback, r);
         } else {
             mEntry.handle(id, request, response, callback);
         }
--- a/node/src/main/java/io/azurestage/node/Replies.java
+++ b/node/src/main/java/io/azurestage/node/Replies.java
@@ -10,6 +10,7 @@
 /** Refusals that a node sends without involving a backend server. */
 final class Replies {
     private static final Duration MEMORY_RETRY_AFTER = Duration.ofSeconds(1);
+    private static final Duration CONNECTIONS_RETRY_AFTER = Duration.ofSeconds(1);
     private static final Duration NOT_READY_RETRY_AFTER = Duration.ofSeconds(1);
 
     private Replies() {}
@@ -25,6 +26,14 @@
                 RefusalKind.NOT_READY, NOT_READY_RETRY_AFTER, "the node has no configuration yet");
     }
 
+    /** Returns the refusal of a request whose connection is one too many in use. */
+    static Refusal tooManyConnections() {
+        return Refusal.notRun(
+                RefusalKind.OVERLOADED,
+                CONNECTIONS_RETRY_AFTER,
+                "too many connections have requests in progress");
+    }
+
     /** Maps a failure to read the request body to a refusal. */
     static Refusal unreadableBody(Throwable cause, int limit) {
         Throwable root = cause.getCause() == null ? cause : cause.getCause();
