Let the oldest incomplete request give way at the cap on connections

What callers saw: while clients with incomplete requests held all connections that a node on a platform allows, a new caller's connection was closed without an answer.

Cause: the guard chose the connection least in use among all, the new one included; the new one has no request and so came before those whose requests are incomplete, against its own description.

Why it works: the new connection is chosen only if no other is idle or incomplete.

Test: ClientGuardTest.Connections.oneTooManyEndsTheOldestIncompleteRequest fails on ("Connection reset") and holds now.

--- a/relay/src/main/java/io/azurestage/relay/http/ClientGuard.java
+++ b/relay/src/main/java/io/azurestage/relay/http/ClientGuard.java
@@ -20,6 +20,9 @@
     /** Fraction of the heap that clients may occupy. The node's own state needs the rest. */
     private static final double HEAP_FRACTION = 0.5;
 
+    /** Reason for ending a connection. */
+    private static final String CONNECTIONS = "connections";
+
     private final MemoryAccount mMemory;
     private final int mMaxConnections;
     private final String mIdName;
@@ -87,14 +90,15 @@
         if (mConnections.size() <= mMaxConnections) {
             return;
         }
-        InboundConnection least =
-                mConnections.stream()
-                        .filter(c -> !c.isBusy())
-                        .min(
-                                Comparator.comparing(InboundConnection::hasRequest)
-                                        .thenComparingLong(InboundConnection::sinceNanos))
-                        .orElse(connection);
-        least.end("connections");
+        leastInUse(connection).orElse(connection).end(CONNECTIONS);
+    }
+
+    private Optional<InboundConnection> leastInUse(InboundConnection except) {
+        return mConnections.stream()
+                .filter(c -> !c.isBusy() && c != except)
+                .min(
+                        Comparator.comparing(InboundConnection::hasRequest)
+                                .thenComparingLong(InboundConnection::sinceNanos));
     }
 
     void closed(InboundConnection connection) {
--- a/relay/src/test/java/io/azurestage/relay/http/ClientGuardTest.java
+++ b/relay/src/test/java/io/azurestage/relay/http/ClientGuardTest.java
@@ -29,6 +29,7 @@
     private static final Duration IDLE_TIMEOUT = Duration.ofMillis(300);
     private static final Duration LONG_TIMEOUT = Duration.ofSeconds(20);
     private static final String GET = "GET /%s HTTP/1.1\r\nHost: h\r\n\r\n";
+    private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
     private static final String CHUNKED =
             "POST /up HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -237,5 +238,22 @@
             mLoop.run(() -> mHeld.get(0).reply(Reply.text(200, "length 1\n")));
             assertThat(read(busy)).endsWith("length 1\n");
         }
+
+        // Guards against closing new connections while others only send their bodies slowly.
+        @Test
+        void oneTooManyEndsTheOldestIncompleteRequest() throws Exception {
+            HttpListener listener = listen(LONG_TIMEOUT);
+            for (int i = 0; i < MAX_CONNECTIONS; i++) {
+                Socket s = connect(listener);
+                write(s, CHUNKED.replace("\r\n\r\n", "\r\nExpect: 100-continue\r\n\r\n"));
+                assertThat(s.getInputStream().readNBytes(CONTINUE.length()))
+                        .asString(StandardCharsets.US_ASCII)
+                        .isEqualTo(CONTINUE);
+            }
+            assertServed(listener);
+            assertThat(read(mSockets.get(0)))
+                    .startsWith("HTTP/1.1 503 ")
+                    .contains("Retry-After: 1");
+        }
     }
 }
