Refuse a request on one connection too many at a node on a platform

What callers saw: while all connections that the node allows had complete requests, a new caller's connection was closed without an answer.

Cause: as in the product's own node, the guard closed the new connection.

Below the bound nothing changes.

Test: ClientGuardTest.Connections.requestOnOneConnectionTooManyIsRefused fails on ("Connection reset") and holds now.

--- a/relay/src/main/java/io/azurestage/relay/http/ClientGuard.java
+++ b/relay/src/main/java/io/azurestage/relay/http/ClientGuard.java
@@ -20,11 +20,15 @@
     /** Fraction of the heap that clients may occupy. The node's own state needs the rest. */
     private static final double HEAP_FRACTION = 0.5;
 
-    /** Reason for ending a connection. */
-    private static final String CONNECTIONS = "connections";
+    /** Number of connections for each that is accepted beyond the limit. */
+    private static final int CONNECTIONS_PER_EXTRA = 16;
+
+    /** Reason for ending a connection or refusing its request. */
+    static final String CONNECTIONS = "connections";
 
     private final MemoryAccount mMemory;
     private final int mMaxConnections;
+    private final int mMaxWithExtra;
     private final String mIdName;
     private final Optional<EventLog> mEvents;
     private final ReadPacer mPacer = new ReadPacer();
@@ -34,7 +38,7 @@
      * Creates a guard.
      *
      * @param memory account for all that clients occupy
-     * @param maxConnections largest number of connections of clients
+     * @param maxConnections largest number of connections whose requests are handled
      * @param idName name of the header field with the request id
      * @param events records the connections that are ended, if it is given
      */
@@ -43,6 +47,7 @@
         mIdName = idName;
         mMemory = memory;
         mMaxConnections = maxConnections;
+        mMaxWithExtra = maxConnections + Math.max(1, maxConnections / CONNECTIONS_PER_EXTRA);
         mEvents = events;
     }
 
@@ -83,14 +88,20 @@
 
     /**
      * Adds a connection. If there are too many, ends the one that is least in use: the one that has
-     * been without a request for longest, else the oldest incomplete request, else the new one.
+     * been without a request for longest, else the oldest incomplete request. If all are busy, some
+     * more are accepted, so that their requests can be refused.
      */
     void opened(InboundConnection connection) {
         mConnections.add(connection);
         if (mConnections.size() <= mMaxConnections) {
             return;
         }
-        leastInUse(connection).orElse(connection).end(CONNECTIONS);
+        Optional<InboundConnection> least = leastInUse(connection);
+        if (least.isPresent()) {
+            least.get().end(CONNECTIONS);
+        } else if (mConnections.size() > mMaxWithExtra) {
+            connection.end(CONNECTIONS);
+        }
     }
 
     private Optional<InboundConnection> leastInUse(InboundConnection except) {
@@ -101,6 +112,25 @@
                                 .thenComparingLong(InboundConnection::sinceNanos));
     }
 
+    /**
+     * Makes room for a request that begins on a connection. If too many connections have requests,
+     * the oldest incomplete one is ended.
+     *
+     * @return false if the requests of all others are complete, so this one has to be refused
+     */
+    boolean makeRoom(InboundConnection connection) {
+        if (mConnections.size() <= mMaxConnections || otherRequests(connection) < mMaxConnections) {
+            return true;
+        }
+        Optional<InboundConnection> least = leastInUse(connection);
+        least.ifPresent(c -> c.end(CONNECTIONS));
+        return least.isPresent();
+    }
+
+    private long otherRequests(InboundConnection connection) {
+        return mConnections.stream().filter(c -> c != connection && c.hasRequest()).count();
+    }
+
     void closed(InboundConnection connection) {
         mConnections.remove(connection);
     }
--- a/relay/src/main/java/io/azurestage/relay/http/InboundConnection.java
+++ b/relay/src/main/java/io/azurestage/relay/http/InboundConnection.java
@@ -283,6 +283,14 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
             return;
         }
+        if (!mGuard.makeRoom(this)) {
+            mGuard.report(ClientGuard.CONNECTIONS, "refused", heldBytes(), Optional.of(request));
+            reject(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    "too many connections have requests; not run",
+                    RETRY_AFTER);
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(request)) {
             mContext.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
--- a/relay/src/test/java/io/azurestage/relay/http/ClientGuardTest.java
+++ b/relay/src/test/java/io/azurestage/relay/http/ClientGuardTest.java
@@ -255,5 +255,23 @@
                     .startsWith("HTTP/1.1 503 ")
                     .contains("Retry-After: 1");
         }
+
+        // Guards against closing a new connection without an answer because all others are busy.
+        @Test
+        void requestOnOneConnectionTooManyIsRefused() throws Exception {
+            HttpListener listener = listen(LONG_TIMEOUT);
+            for (int i = 1; i <= MAX_CONNECTIONS; i++) {
+                int held = i;
+                write(connect(listener), GET.formatted("held"));
+                Loop.await("the request", () -> mHeld.size() == held);
+            }
+            Socket refused = connect(listener);
+            write(refused, GET.formatted("ordinary"));
+            assertThat(read(refused)).startsWith("HTTP/1.1 503 ").contains("Retry-After: 1");
+            assertThat(mHandled).hasSize(MAX_CONNECTIONS);
+            mLoop.run(() -> mHeld.get(0).reply(Reply.text(200, "length 1\n")));
+            assertThat(read(mSockets.get(0))).endsWith("length 1\n");
+            assertServed(listener);
+        }
     }
 }
