Read the body of another node's call before refusing the call

What callers saw: 502 "the connection to service a failed", execution unknown, for calls that the node beside the server had refused as not run: over its bound on memory, past their deadline, or before it was ready.

Cause: the node answered before it had read the body. Jetty's server resets an HTTP/2 stream whose request is not read after the answer (NO_ERROR), and Jetty's client drops an answer that it has not handed on by then.

Why it works: the rest of the body of a verified call is read and dropped before the answer is sent, so the stream ends without a reset. Clients that are not nodes still have their answer at once, and their connection closed. A body that is evicted between its last byte and its end now ends as well.

--- a/node/src/main/java/io/azurestage/node/PeerCallHandler.java
+++ b/node/src/main/java/io/azurestage/node/PeerCallHandler.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -56,33 +57,25 @@
         mNode.clock().receive(ctx.time());
         long deadlineNanos = mNode.nanosOf(ctx.deadline());
         if (deadlineNanos - mNode.time().nanos() <= 0) {
-            answerFor(ctx, response, callback)
-                    .refuse(
-                            EntryHandler.withRepeatUncertainty(
-                                    request,
-                                    Refusal.notRun(
-                                            RefusalKind.DEADLINE_EXCEEDED,
-                                            "the deadline passed on the way")));
+            Refusal late =
+                    Refusal.notRun(RefusalKind.DEADLINE_EXCEEDED, "the deadline passed on the way");
+            refuseAfterBody(ctx, late, request, response, callback);
             return;
         }
         if (!mNode.activeRequests().registerAttempt(ctx.attemptId(), deadlineNanos)) {
             mNode.metrics().contextRefused().labelValues("Duplicate").inc();
             // The first copy may be running, so the execution state of the attempt is unknown.
-            Replies.refuse(
-                    mNode,
-                    ctx.requestId(),
-                    response,
-                    callback,
-                    Refusal.unknown(RefusalKind.INVALID_CONTEXT, "the attempt was seen before"));
+            Refusal r = Refusal.unknown(RefusalKind.INVALID_CONTEXT, "the attempt was seen before");
+            RequestId id = ctx.requestId();
+            afterBody(request, () -> Replies.refuse(mNode, id, response, callback, r));
             return;
         }
         if (mNode.lifecycle() == Lifecycle.JOINING) {
-            answerFor(ctx, response, callback)
-                    .refuse(EntryHandler.withRepeatUncertainty(request, Replies.notReady()));
+            refuseAfterBody(ctx, Replies.notReady(), request, response, callback);
             return;
         }
         int limit = mNode.settings().maxBodyBytes();
-        RequestBody.read(request, limit, mNode.bounds())
+        RequestBody.readToEnd(request, limit, mNode.bounds())
                 .whenComplete(
                         (body, failure) -> {
                             if (failure == null) {
@@ -97,6 +90,25 @@
                         });
     }
 
+    private void refuseAfterBody(
+            RequestContext ctx,
+            Refusal refusal,
+            Request request,
+            Response response,
+            Callback callback) {
+        AnswerSink answer = answerFor(ctx, response, callback);
+        Refusal r = EntryHandler.withRepeatUncertainty(request, refusal);
+        afterBody(request, () -> answer.refuse(r));
+    }
+
+    /**
+     * Reads and drops the body before an answer. Otherwise the stream is reset after the answer,
+     * and the client of the other node drops it.
+     */
+    private static void afterBody(Request request, Runnable answer) {
+        Content.Source.consumeAll(request, Callback.from(answer, t -> answer.run()));
+    }
+
     private void run(
             RequestContext ctx,
             long deadlineNanos,
--- a/node/src/main/java/io/azurestage/node/RequestBody.java
+++ b/node/src/main/java/io/azurestage/node/RequestBody.java
@@ -22,12 +22,15 @@
     private final Request mRequest;
     private final int mLimit;
     private final ClientBounds mBounds;
+    private final boolean mToEnd;
     private final Holding mHolding;
     private final CompletableFuture<byte[]> mDone = new CompletableFuture<>();
     private SegmentedBuffer mBytes = new SegmentedBuffer();
+    private volatile Throwable mRefused;
 
-    private RequestBody(Request request, int limit, ClientBounds bounds) {
+    private RequestBody(Request request, int limit, boolean toEnd, ClientBounds bounds) {
         mBounds = bounds;
+        mToEnd = toEnd;
         mRequest = request;
         mLimit = limit;
         mHolding = bounds.memory().open(() -> fail(new TooManyHeldBytesException()));
@@ -48,7 +51,25 @@
      *     if the node holds too much, or if the caller disconnects
      */
     static CompletableFuture<byte[]> read(Request request, int limit, ClientBounds bounds) {
-        RequestBody body = new RequestBody(request, limit, bounds);
+        return read(new RequestBody(request, limit, false, bounds), request, bounds);
+    }
+
+    /**
+     * Reads the whole body of another node's call. If it fails because of a bound, the rest is read
+     * and dropped first: an HTTP/2 stream with an unread body is reset after the response, and the
+     * client of the other node then drops the response.
+     *
+     * @param request the request
+     * @param limit largest length in bytes
+     * @param bounds bounds that the body counts in
+     * @return the body, which fails like that of {@link #read}
+     */
+    static CompletableFuture<byte[]> readToEnd(Request request, int limit, ClientBounds bounds) {
+        return read(new RequestBody(request, limit, true, bounds), request, bounds);
+    }
+
+    private static CompletableFuture<byte[]> read(
+            RequestBody body, Request request, ClientBounds bounds) {
         Request.addCompletionListener(request, t -> body.mHolding.close());
         bounds.connections().bodyStarted(request);
         body.mDone.whenComplete((b, t) -> bounds.connections().bodyEnded(request));
@@ -69,6 +90,7 @@
             }
             if (Content.Chunk.isFailure(chunk)) {
                 fail(chunk.getFailure());
+                mDone.completeExceptionally(chunk.getFailure());
                 return;
             }
             append(chunk);
@@ -79,16 +101,25 @@
     /** Counts a chunk before it is copied, since many threads may copy at the same time. */
     private void append(Content.Chunk chunk) {
         int added = chunk.getByteBuffer().remaining();
-        boolean counted = count(added);
+        boolean counted = mRefused == null && count(added);
         if (counted) {
             keep(chunk.getByteBuffer());
         }
+        boolean last = chunk.isLast();
         chunk.release();
-        if (counted && chunk.isLast()) {
+        if (last && counted) {
             complete();
+        } else if (last) {
+            mDone.completeExceptionally(refused());
         }
     }
 
+    /** Returns why the body is dropped. An eviction closes the holding before it states that. */
+    private Throwable refused() {
+        Throwable refused = mRefused;
+        return refused == null ? new TooManyHeldBytesException() : refused;
+    }
+
     private boolean count(int added) {
         long length = mBytes.length() + added;
         if (length > mLimit) {
@@ -105,6 +136,7 @@
     private void complete() {
         long length = mBytes.length();
         if (!mHolding.resize(REQUEST_BYTES + mBytes.capacity() + length)) {
+            mDone.completeExceptionally(refused());
             return;
         }
         mHolding.setEvictable(false);
@@ -116,15 +148,20 @@
         // An eviction just before has emptied the buffer.
         if (mHolding.resize(REQUEST_BYTES + length)) {
             mDone.complete(whole);
+        } else {
+            mDone.completeExceptionally(refused());
         }
     }
 
-    /** Ends the body; nothing is kept of it. */
+    /** Drops the body, and the rest of it if it has to be read to its end. */
     private void fail(Throwable cause) {
         synchronized (this) {
             mBytes = new SegmentedBuffer();
         }
         mHolding.close();
-        mDone.completeExceptionally(cause);
+        mRefused = cause;
+        if (!mToEnd) {
+            mDone.completeExceptionally(cause);
+        }
     }
 }
