Share the refusal of a stopping node, and the set-up of tests

EntryGate takes both handlers instead of making a second StopRefusal. HttpPoolTest and SilentConnectionsTest share their scenario, and CallRecordsTest has its loop once. No behaviour and no check changes.

--- a/relay/src/main/java/io/azurestage/relay/Relay.java
+++ b/relay/src/main/java/io/azurestage/relay/Relay.java
@@ -212,7 +212,7 @@
                         mLocalBackend::learnDownstreamCalls,
                         metrics,
                         mQuotas);
-        mEntryGate = new EntryGate(mEntryHandler, port.names().requestId(), metrics, events);
+        mEntryGate = new EntryGate(mEntryHandler, mEntryHandler::refuseAsStopping);
         mDirectory.onNodesChanged(this::nodesChanged);
         mLinkServer = new LinkServer(time, mPauses, self, mLocalBackend, mGuard.memory());
         mConfigKeyFeed =
--- a/relay/src/main/java/io/azurestage/relay/entry/EntryHandler.java
+++ b/relay/src/main/java/io/azurestage/relay/entry/EntryHandler.java
@@ -207,6 +207,16 @@
         exchange.reply(Reply.text(UNAUTHORIZED, "the access key is missing or unknown\n"));
     }
 
+    /**
+     * Refuses a request that a stopping node does not take, as not run.
+     *
+     * @param request the request
+     * @param exchange receives the refusal
+     */
+    public void refuseAsStopping(InboundRequest request, Exchange exchange) {
+        mStopRefusal.reply(request, exchange);
+    }
+
     private void handle(
             InboundRequest request,
             Exchange exchange,
@@ -217,7 +227,7 @@
         long deadlineNanos = nowNanos + timeoutNanos(remaining, route);
         if (mLatestDeadlineNanos.isPresent()
                 && deadlineNanos - mLatestDeadlineNanos.getAsLong() > 0) {
-            mStopRefusal.reply(request, exchange);
+            refuseAsStopping(request, exchange);
             return;
         }
         Optional<String> partner = caller.partner().map(PartnerPolicy::name);
--- a/relay/src/test/java/io/azurestage/relay/fleet/CallRecordsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/fleet/CallRecordsTest.java
@@ -27,6 +27,19 @@
         return new CallRecords(mLoop.loop(), mStore, events);
     }
 
+    private void writeUntilThere(CallRecords writer) throws Exception {
+        Loop.await(
+                "the record",
+                () -> {
+                    try {
+                        mLoop.run(() -> writer.write("status"));
+                    } catch (Exception e) {
+                        throw new AssertionError(e);
+                    }
+                    return mStore.has("azurestage/called/status");
+                });
+    }
+
     @Test
     void startingNodeReadsTheRecordsOfOtherNodes() throws Exception {
         CallRecords writer = newRecords();
@@ -43,16 +56,7 @@
         mStore.setDown(true);
         mLoop.run(() -> writer.write("status"));
         mStore.setDown(false);
-        Loop.await(
-                "the record",
-                () -> {
-                    try {
-                        mLoop.run(() -> writer.write("status"));
-                    } catch (Exception e) {
-                        throw new AssertionError(e);
-                    }
-                    return mStore.has("azurestage/called/status");
-                });
+        writeUntilThere(writer);
     }
 
     @Test
@@ -73,16 +77,7 @@
         mLoop.run(() -> writer.write("status"));
         Loop.await("the record", () -> mStore.has("azurestage/called/status"));
         mStore.restoreCopy();
-        Loop.await(
-                "the record is written again",
-                () -> {
-                    try {
-                        mLoop.run(() -> writer.write("status"));
-                    } catch (Exception e) {
-                        throw new AssertionError(e);
-                    }
-                    return mStore.has("azurestage/called/status");
-                });
+        writeUntilThere(writer);
     }
 
     @Test
--- a/relay/src/test/java/io/azurestage/relay/http/HttpPoolTest.java
+++ b/relay/src/test/java/io/azurestage/relay/http/HttpPoolTest.java
@@ -2,69 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.azurestage.core.time.TimeSource;
-import io.azurestage.mesh.Address;
 import io.azurestage.relay.Loop;
 import io.azurestage.relay.RawServer;
-import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicReference;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class HttpPoolTest {
-    private static final Duration LONG_TIMEOUT = Duration.ofSeconds(60);
-
-    private final Loop mLoop = new Loop();
-    private final AtomicReference<OutboundResult> mResult = new AtomicReference<>();
-    private RawServer mServer;
-    private HttpPool mPool;
-
-    @AfterEach
-    void close() throws Exception {
-        mServer.close();
-        mLoop.close();
-    }
-
-    private void serve(RawServer.Script script) throws Exception {
-        mServer = new RawServer(script);
-        mPool =
-                new HttpPool(
-                        (EventLoop) mLoop.group().next(),
-                        TimeSource.system(),
-                        Address.parse(mServer.address()).orElseThrow(),
-                        Duration.ofSeconds(1));
-    }
-
-    private static OutboundRequest request(String target, Duration timeout) {
-        return new OutboundRequest(
-                "GET",
-                target,
-                "h",
-                List.of(new Field("Id", "one")),
-                new byte[0],
-                timeout,
-                false,
-                (status, fields) ->
-                        Fields.first(fields, "Id").equals(Optional.of("one"))
-                                ? ResponseFilter.Owner.THIS_REQUEST
-                                : ResponseFilter.Owner.OTHER_REQUEST);
-    }
-
-    private OutboundResult send(Duration timeout) throws Exception {
-        mResult.set(null);
-        mLoop.run(() -> mPool.send(request("/", timeout), mResult::set));
-        Loop.await("a result", () -> mResult.get() != null);
-        return mResult.get();
-    }
-
+class HttpPoolTest extends HttpPoolScenario {
     /** Numbers in the header of an answer that are too large or of another form. */
     @Nested
     class OddNumbers {
--- a/relay/src/test/java/io/azurestage/relay/http/SilentConnectionsTest.java
+++ b/relay/src/test/java/io/azurestage/relay/http/SilentConnectionsTest.java
@@ -2,16 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.azurestage.core.time.TimeSource;
-import io.azurestage.mesh.Address;
 import io.azurestage.relay.Loop;
 import io.azurestage.relay.RawServer;
-import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -19,56 +15,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Connections that fall silent without being closed, while new ones work. */
-class SilentConnectionsTest {
-    private static final Duration LONG_TIMEOUT = Duration.ofSeconds(60);
-
-    private final Loop mLoop = new Loop();
-    private final AtomicReference<OutboundResult> mResult = new AtomicReference<>();
-    private RawServer mServer;
-    private HttpPool mPool;
-
-    @AfterEach
-    void close() throws Exception {
-        mServer.close();
-        mLoop.close();
-    }
-
-    private void serve(RawServer.Script script) throws Exception {
-        mServer = new RawServer(script);
-        mPool =
-                new HttpPool(
-                        (EventLoop) mLoop.group().next(),
-                        TimeSource.system(),
-                        Address.parse(mServer.address()).orElseThrow(),
-                        Duration.ofSeconds(1));
-    }
-
-    private static OutboundRequest request(String target, Duration timeout) {
-        return new OutboundRequest(
-                "GET",
-                target,
-                "h",
-                List.of(new Field("Id", "one")),
-                new byte[0],
-                timeout,
-                false,
-                (status, fields) ->
-                        Fields.first(fields, "Id").equals(Optional.of("one"))
-                                ? ResponseFilter.Owner.THIS_REQUEST
-                                : ResponseFilter.Owner.OTHER_REQUEST);
-    }
-
-    private OutboundResult send(Duration timeout) throws Exception {
-        mResult.set(null);
-        mLoop.run(() -> mPool.send(request("/", timeout), mResult::set));
-        Loop.await("a result", () -> mResult.get() != null);
-        return mResult.get();
-    }
-
+class SilentConnectionsTest extends HttpPoolScenario {
     private static final int CONNECTIONS = 3;
     private static final Duration SHORT = Duration.ofMillis(200);
 
