Let only incomplete requests give way to a request at a node on a platform

An idle connection has no request that could give way. By the order in which connections are ended this case cannot arise, so there is no test for it.

--- a/relay/src/main/java/io/azurestage/relay/http/ClientGuard.java
+++ b/relay/src/main/java/io/azurestage/relay/http/ClientGuard.java
@@ -122,9 +122,10 @@
         if (mConnections.size() <= mMaxConnections || otherRequests(connection) < mMaxConnections) {
             return true;
         }
-        Optional<InboundConnection> least = leastInUse(connection);
-        least.ifPresent(c -> c.end(CONNECTIONS));
-        return least.isPresent();
+        Optional<InboundConnection> incomplete =
+                leastInUse(connection).filter(InboundConnection::hasRequest);
+        incomplete.ifPresent(c -> c.end(CONNECTIONS));
+        return incomplete.isPresent();
     }
 
     private long otherRequests(InboundConnection connection) {
