Retry a call over a new connection after its connection was lost

What callers saw: 502, execution unknown, although the node that runs the call was in reach again: a retry failed like the attempt before it.

Cause: the retry went over another connection to the same node that had broken together with the first and had not been noticed yet. Each such loss spends a part of the retry allowance.

Evidence: the events of the two failures of FaultPairsTest.linkLostTwice in 60 repetitions beside load: the second attempt starts 6 to 8 ms after the loss and fails 2 ms later with ClosedChannelException, and no third follows. Ruled out: retries before the link was restored (it was after 0.2 ms).

Why it works: a lost connection begins another generation for its node; new calls use connections of that generation, and calls in progress on others go on. Connections of an earlier generation end when they are idle. A reset of a single stream begins none.

--- a/node/src/main/java/io/azurestage/node/ForwardedCall.java
+++ b/node/src/main/java/io/azurestage/node/ForwardedCall.java
@@ -41,6 +41,7 @@
 
     private final NodeContext mNode;
     private final HttpClient mClient;
+    private final ConnectionGenerations mGenerations;
     private final DelayScheduler mDelay;
     private final Call mCall;
     private final Allowance mAllowance;
@@ -56,6 +57,7 @@
     ForwardedCall(
             NodeContext node,
             HttpClient client,
+            ConnectionGenerations generations,
             DelayScheduler delay,
             Call call,
             Allowance allowance,
@@ -64,6 +66,7 @@
             AnswerSink sink) {
         mNode = node;
         mClient = client;
+        mGenerations = generations;
         mDelay = delay;
         mCall = call;
         mAllowance = allowance;
@@ -123,9 +126,10 @@
                         reservation.retries(),
                         retry,
                         mNode.clock().tick());
+        long generation = mGenerations.current(e.address());
         Request request;
         try {
-            request = request(e, ctx, left);
+            request = request(e, ctx, left).tag(generation);
         } catch (IllegalArgumentException bad) {
             reservation.returnUnused(reservation.retries());
             pick.done(AttemptResult.CANCELLED, 0, -1);
@@ -139,7 +143,8 @@
                 mCall.partner(),
                 Map.of("service", mCall.service(), "to", e.node().nodeId()));
         mCancellation.onCancel(() -> request.abort(new CallerGoneException()));
-        new ResponseReceiver(new AttemptHandler(pick, ctx, reservation), HttpVersion.HTTP_2)
+        new ResponseReceiver(
+                        new AttemptHandler(pick, ctx, reservation, generation), HttpVersion.HTTP_2)
                 .send(request);
     }
 
@@ -228,11 +233,14 @@
         private final Pick mPick;
         private final RequestContext mContext;
         private final RetryReservation mReservation;
+        private final long mGeneration;
         private final long mStart = mNode.time().nanos();
         private final AtomicBoolean mDone = new AtomicBoolean();
         private StreamSink mStream;
 
-        AttemptHandler(Pick pick, RequestContext context, RetryReservation reservation) {
+        AttemptHandler(
+                Pick pick, RequestContext context, RetryReservation reservation, long generation) {
+            mGeneration = generation;
             mPick = pick;
             mContext = context;
             mReservation = reservation;
@@ -314,6 +322,7 @@
         @Override
         public void failed(Throwable cause, boolean sent, long streamed) {
             boolean cancelled = cause instanceof CallerGoneException;
+            mGenerations.failed(mPick.endpoint().address(), mGeneration, cause);
             report(cancelled ? AttemptResult.CANCELLED : AttemptResult.FAILED, -1);
             mNode.event(
                     EventType.ATTEMPT_FAILED,
--- a/node/src/main/java/io/azurestage/node/Forwarder.java
+++ b/node/src/main/java/io/azurestage/node/Forwarder.java
@@ -11,6 +11,7 @@
     private final NodeContext mNode;
     private final HttpClient mClient;
     private final DelayScheduler mDelay;
+    private final ConnectionGenerations mGenerations = new ConnectionGenerations();
 
     Forwarder(NodeContext node, HttpClient client, DelayScheduler delay) {
         mNode = node;
@@ -33,7 +34,16 @@
             Cancellation cancellation,
             Consumer<List<ServiceLevel>> onLevels,
             AnswerSink sink) {
-        new ForwardedCall(mNode, mClient, mDelay, call, allowance, cancellation, onLevels, sink)
+        new ForwardedCall(
+                        mNode,
+                        mClient,
+                        mGenerations,
+                        mDelay,
+                        call,
+                        allowance,
+                        cancellation,
+                        onLevels,
+                        sink)
                 .start();
     }
 }
--- a/node/src/main/java/io/azurestage/node/HttpClients.java
+++ b/node/src/main/java/io/azurestage/node/HttpClients.java
@@ -54,6 +54,7 @@
         c.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_DESTINATION);
         c.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         c.setIdleTimeout(s.idleTimeoutMillis() + s.maxDeadlineMillis());
+        c.setDestinationIdleTimeout(c.getIdleTimeout());
         c.setFollowRedirects(false);
         c.setUserAgentField(null);
         c.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
